Lay out the workspace, the design and the routing core

The repository was empty. This adds the design page with its requirements, a workspace of small libraries with one-way imports (checked by import-linter), formatter, linter and type checker, and the routing decision: header parsing, routing tokens in connection IDs, Maglev table and router.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Requires GNU make and CPython 3.11; everything else is installed into .venv.
+
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+LIBRARIES := core lists routing placement admission limits requests membership configuration \
+	wire telemetry settings runtime cli standins
+EDITABLE := $(foreach name,$(LIBRARIES),-e libs/$(name))
+PROTO := libs/wire/src/laburnumbridge/wire/control.proto
+
+.PHONY: setup format lint test bench demo proto dist soak clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation -c constraints.txt $(EDITABLE)
+	touch $@
+
+format: setup
+	$(BIN)/black --quiet libs
+	$(BIN)/ruff check --fix --quiet libs
+	$(BIN)/black --quiet libs
+
+lint: setup
+	$(BIN)/black --check --quiet libs
+	$(BIN)/ruff check libs
+	$(BIN)/mypy $(foreach name,$(LIBRARIES),-p laburnumbridge.$(name))
+	$(BIN)/lint-imports
+
+test: setup
+	$(BIN)/python -m pytest
+
+bench: setup
+	mkdir -p build
+	$(BIN)/laburnumbridge bench --output build/bench.json
+
+demo: setup
+	$(BIN)/python -m laburnumbridge.standins.demo
+
+clean:
+	rm -rf build dist $(VENV)
--- /dev/null
+++ b/libs/admission/src/laburnumbridge/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Slots, connections and queue of one upstream."""
--- /dev/null
+++ b/libs/cli/src/laburnumbridge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The laburnumbridge command."""
--- /dev/null
+++ b/libs/configuration/src/laburnumbridge/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Versions of the lists: who reads, who relays, which version wins."""
--- /dev/null
+++ b/libs/limits/src/laburnumbridge/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Plan limits across the fleet by leases of credit."""
--- /dev/null
+++ b/libs/lists/src/laburnumbridge/lists/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models of the lists that the platform publishes."""
--- /dev/null
+++ b/libs/membership/src/laburnumbridge/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Liveness of processes over the list of VMs."""
--- /dev/null
+++ b/libs/placement/src/laburnumbridge/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the upstream that takes a new connection."""
--- /dev/null
+++ b/libs/requests/src/laburnumbridge/requests/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution, retries, deadlines and idempotency keys."""
--- /dev/null
+++ b/libs/routing/src/laburnumbridge/routing/router.py
@@ -0,0 +1,141 @@
+"""The routing decision of a balancer."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import ServiceNumber
+from laburnumbridge.core import hash64
+from laburnumbridge.routing.agent_route import AgentState
+from laburnumbridge.routing.maglev_table import MaglevTable
+from laburnumbridge.routing.packet_header import MIN_INITIAL_DATAGRAM_BYTES
+from laburnumbridge.routing.packet_header import parse_packet_header
+from laburnumbridge.routing.route_decision import Drop
+from laburnumbridge.routing.route_decision import DropReason
+from laburnumbridge.routing.route_decision import RouteToAgent
+from laburnumbridge.routing.route_decision import SendStatelessReset
+from laburnumbridge.routing.token_codec import CONNECTION_ID_BYTES
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from laburnumbridge.core import AgentNumber
+    from laburnumbridge.routing.agent_route import AgentRoute
+    from laburnumbridge.routing.route_decision import RouteDecision
+    from laburnumbridge.routing.routing_token import RoutingToken
+    from laburnumbridge.routing.token_codec import TokenCodec
+
+# A bounded cache of decisions by connection ID: a flow sends many packets under one ID.
+DECISION_CACHE_ENTRIES = 100_000
+
+_MALFORMED = Drop(DropReason.MALFORMED)
+_UNKNOWN_SERVICE = Drop(DropReason.UNKNOWN_SERVICE)
+_SHORT_INITIAL = Drop(DropReason.SHORT_INITIAL)
+_UNKNOWN_TOKEN = Drop(DropReason.UNKNOWN_TOKEN)
+_WRONG_SERVICE = Drop(DropReason.WRONG_SERVICE)
+_NO_AGENT = Drop(DropReason.NO_AGENT)
+_AGENT_GONE = Drop(DropReason.AGENT_GONE)
+
+
+class Router:
+    """Decides where a datagram goes, from the datagram and the table of agents alone.
+
+    It keeps no state per flow: the cache can be dropped at any time without an effect on any
+    decision.
+    """
+
+    def __init__(self, *, codec: TokenCodec) -> None:
+        self._codec = codec
+        self._routes_by_number: dict[AgentNumber, AgentRoute] = {}
+        self._table_by_service: dict[ServiceNumber, MaglevTable] = {}
+        self._services: set[ServiceNumber] = set()
+        self._decision_by_id: dict[tuple[int, bytes], RouteDecision] = {}
+
+    def set_codec(self, codec: TokenCodec) -> None:
+        """Replace the keys, after a rotation."""
+        self._codec = codec
+        self._decision_by_id.clear()
+
+    def set_routes(
+        self, *, routes: Iterable[AgentRoute], services: Iterable[ServiceNumber]
+    ) -> None:
+        """Replace the table of agents; only the tables of changed services are built again."""
+        self._routes_by_number = {route.agent_number: route for route in routes}
+        self._services = set(services)
+        live: dict[ServiceNumber, list[int]] = defaultdict(list)
+        suspect: dict[ServiceNumber, list[int]] = defaultdict(list)
+        for route in self._routes_by_number.values():
+            if route.state is AgentState.LIVE:
+                live[route.service_number].append(route.agent_number)
+            elif route.state is AgentState.SUSPECT:
+                suspect[route.service_number].append(route.agent_number)
+        tables = {}
+        for service in self._services:
+            # With every agent under suspicion the observer is the likelier fault.
+            members = tuple(sorted(live[service] or suspect[service]))
+            if not members:
+                continue
+            known = self._table_by_service.get(service)
+            unchanged = known is not None and known.members == members
+            tables[service] = known if unchanged and known else MaglevTable(members=members)
+        self._table_by_service = tables
+        self._decision_by_id.clear()
+
+    def route(self, datagram: bytes, service_number: ServiceNumber) -> RouteDecision:
+        """Decide on one datagram that arrived at the address of ``service_number``."""
+        # The cache key of a short header needs no parsing; this is the path of most packets.
+        if datagram and 0x40 <= datagram[0] < 0x80:
+            key = (service_number, datagram[1 : 1 + CONNECTION_ID_BYTES])
+            decision = self._decision_by_id.get(key)
+            if decision is not None:
+                return decision
+        return self._route_uncached(datagram, service_number)
+
+    def route_new(self, flow_key: bytes, service_number: ServiceNumber) -> RouteDecision:
+        """Choose the agent that takes a new flow, by any stable key of the flow."""
+        table = self._table_by_service.get(service_number)
+        if table is None:
+            return _NO_AGENT
+        return RouteToAgent(table.lookup(hash64(flow_key)))  # type: ignore[arg-type]
+
+    def route_token(self, token: RoutingToken, service_number: ServiceNumber) -> RouteDecision:
+        """Route a flow by its token."""
+        if token.service_number != service_number:
+            return _WRONG_SERVICE
+        route = self._routes_by_number.get(token.agent_number)
+        # The list lags, so an agent that isn't in it may well be alive: no verdict, no reset.
+        if route is None:
+            return _NO_AGENT
+        if route.service_number != service_number or route.state is AgentState.GONE:
+            return _AGENT_GONE
+        if route.incarnation is not None and route.incarnation > token.incarnation:
+            return _AGENT_GONE
+        return RouteToAgent(token.agent_number)
+
+    def _route_uncached(self, datagram: bytes, service_number: ServiceNumber) -> RouteDecision:
+        header = parse_packet_header(datagram, short_id_bytes=CONNECTION_ID_BYTES)
+        if header is None:
+            return _MALFORMED
+        if service_number not in self._services:
+            return _UNKNOWN_SERVICE
+        token = self._codec.decode(header.destination_id)
+        if token is None:
+            if not header.may_open:
+                return _UNKNOWN_TOKEN
+            if len(datagram) < MIN_INITIAL_DATAGRAM_BYTES:
+                return _SHORT_INITIAL
+            return self.route_new(header.destination_id, service_number)
+        decision = self.route_token(token, service_number)
+        if decision is _AGENT_GONE and header.version is None:
+            decision = SendStatelessReset(self._codec.reset_token(header.destination_id))
+        if header.version is None:
+            self._remember(service_number, header.destination_id, decision)
+        return decision
+
+    def _remember(
+        self, service_number: ServiceNumber, connection_id: bytes, decision: RouteDecision
+    ) -> None:
+        if len(self._decision_by_id) >= DECISION_CACHE_ENTRIES:
+            self._decision_by_id.clear()
+        self._decision_by_id[service_number, connection_id] = decision
--- /dev/null
+++ b/libs/settings/src/laburnumbridge/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process, read from JSON."""
--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks behind ``laburnumbridge bench``; each runs on this machine against its own baseline."""
--- /dev/null
+++ b/libs/telemetry/src/laburnumbridge/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Events, logs, metrics, recorded decisions and burn rates."""
