--- a/libs/cli/src/laburnumbridge/cli/benchmark.py
+++ b/libs/cli/src/laburnumbridge/cli/benchmark.py
@@ -14,7 +14,7 @@
 
 
 class Benchmark(ABC):
-    """One benchmark; libraries register subclasses as entry points ``laburnumbridge.benchmarks``."""
+    """One benchmark; subclasses register as entry points of ``laburnumbridge.benchmarks``."""
 
     name: ClassVar[str]
 
--- a/libs/standins/src/laburnumbridge/standins/benchmarks/__init__.py
+++ b/libs/standins/src/laburnumbridge/standins/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks behind ``laburnumbridge bench``; each runs on this machine against its own baseline."""
+"""Benchmarks behind ``laburnumbridge bench``, each with a baseline from the same run."""
