Carry a guest's connection through the whole system

Cause: nothing served yet. A guest's packets now go through any balancer to the agent whose token they carry, and requests and streams go on to the upstream over HTTP/1.1. Balancer and agent read the lists from the platform; stand-ins for platform, fabric, upstream and guests, a harness and make demo show the path with separate processes on loopback addresses.

--- /dev/null
+++ b/libs/cli/src/laburnumbridge/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands, one class for each verb."""
--- /dev/null
+++ b/libs/lists/src/laburnumbridge/lists/guest_directory.py
@@ -0,0 +1,69 @@
+"""Finds the guest and the plan of a connection or request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from hashlib import sha256
+from ipaddress import ip_address
+from ipaddress import ip_network
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import GuestName
+from laburnumbridge.core import PlanName
+
+if TYPE_CHECKING:
+    from ipaddress import IPv4Network
+    from ipaddress import IPv6Network
+
+    from laburnumbridge.lists.guest_list import Guest
+    from laburnumbridge.lists.guest_list import GuestList
+
+_BEARER = "bearer "
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Identity:
+    """Who a guest is; ``guest`` is None for one on the default plan."""
+
+    guest: GuestName | None
+    plan: PlanName
+
+
+class GuestDirectory:
+    """Looks guests up by token, then by the longest matching source prefix."""
+
+    def __init__(self, *, guests: GuestList) -> None:
+        self._default = Identity(guest=None, plan=PlanName(guests.default_plan))
+        self._by_digest: dict[str, Identity] = {}
+        self._by_prefix: dict[IPv4Network | IPv6Network, Identity] = {}
+        for guest in guests.guests:
+            self._add(guest)
+        lengths = {(prefix.version, prefix.prefixlen) for prefix in self._by_prefix}
+        self._lengths = sorted(lengths, reverse=True)
+
+    def find(self, *, authorization: str | None, source: str) -> Identity:
+        """Return the identity for an ``Authorization`` value and a source IP address."""
+        if authorization and authorization.lower().startswith(_BEARER):
+            token = authorization[len(_BEARER) :].strip()
+            known = self._by_digest.get(sha256(token.encode()).hexdigest())
+            if known is not None:
+                return known
+        return self._find_by_prefix(source)
+
+    def _add(self, guest: Guest) -> None:
+        identity = Identity(guest=GuestName(guest.name), plan=PlanName(guest.plan))
+        if guest.token_sha256 is not None:
+            self._by_digest[guest.token_sha256] = identity
+        for prefix in guest.prefixes:
+            self._by_prefix[prefix] = identity
+
+    def _find_by_prefix(self, source: str) -> Identity:
+        version = ip_address(source).version
+        for known_version, length in self._lengths:
+            if known_version != version:
+                continue
+            network = ip_network(f"{source}/{length}", strict=False)
+            known = self._by_prefix.get(network)
+            if known is not None:
+                return known
+        return self._default
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/balancer_forwarder.py
@@ -0,0 +1,125 @@
+"""Moves datagrams between guests and agents."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from laburnumbridge.routing import Drop
+from laburnumbridge.routing import RouteToAgent
+from laburnumbridge.runtime.stateless_reset import build_stateless_reset
+from laburnumbridge.runtime.udp_socket import UdpSocket
+from laburnumbridge.wire import Endpoint
+from laburnumbridge.wire import FrameKind
+from laburnumbridge.wire import FrameRejectedError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from laburnumbridge.core import AgentNumber
+    from laburnumbridge.core import ServiceNumber
+    from laburnumbridge.routing import Router
+    from laburnumbridge.wire import Encapsulation
+
+HEADER_CACHE_ENTRIES = 100_000
+
+
+class ServiceSocket:
+    """The socket at the address of one service."""
+
+    def __init__(
+        self, *, forwarder: BalancerForwarder, service_number: ServiceNumber, address: Endpoint
+    ) -> None:
+        self._forwarder = forwarder
+        self._service_number = service_number
+        self._header_by_guest: dict[tuple[str, int], bytes] = {}
+        self.socket = UdpSocket(address=address, on_datagram=self._on_datagram)
+
+    def _on_datagram(self, data: bytes, guest: tuple[str, int]) -> None:
+        forwarder = self._forwarder
+        decision = forwarder.router.route(data, self._service_number)
+        if isinstance(decision, RouteToAgent):
+            header = self._header_by_guest.get(guest) or self._build_header(guest)
+            forwarder.send_to_agent(header + data, decision.agent_number)
+            return
+        if isinstance(decision, Drop):
+            forwarder.dropped[decision.reason.value] += 1
+            return
+        reset = build_stateless_reset(token=decision.token, triggering_bytes=len(data))
+        if reset is not None:
+            forwarder.resets_sent += 1
+            self.socket.send(reset, guest)
+
+    def _build_header(self, guest: tuple[str, int]) -> bytes:
+        header = self._forwarder.encapsulation.header(
+            FrameKind.TO_AGENT, self._service_number, Endpoint(*guest), None
+        )
+        if len(self._header_by_guest) >= HEADER_CACHE_ENTRIES:
+            self._header_by_guest.clear()
+        self._header_by_guest[guest] = header
+        return header
+
+
+class BalancerForwarder:
+    """One socket for each service towards guests and one towards the agents."""
+
+    def __init__(
+        self,
+        *,
+        router: Router,
+        encapsulation: Encapsulation,
+        address: Endpoint,
+        address_by_service: Mapping[ServiceNumber, Endpoint],
+        on_agent_refused: Callable[[Endpoint], None] | None = None,
+    ) -> None:
+        self.router = router
+        self.encapsulation = encapsulation
+        self.dropped: Counter[str] = Counter()
+        self.resets_sent = 0
+        self.forwarded = 0
+        self._endpoint_by_agent: dict[AgentNumber, Endpoint] = {}
+        self._agent_socket = UdpSocket(
+            address=address, on_datagram=self._on_agent_datagram, on_refused=on_agent_refused
+        )
+        self._service_sockets = {
+            number: ServiceSocket(forwarder=self, service_number=number, address=local)
+            for number, local in address_by_service.items()
+        }
+
+    def set_agents(self, endpoint_by_agent: Mapping[AgentNumber, Endpoint]) -> None:
+        """Replace the addresses of the agents."""
+        self._endpoint_by_agent = dict(endpoint_by_agent)
+
+    def start(self) -> None:
+        """Bind all addresses."""
+        self._agent_socket.start()
+        for service in self._service_sockets.values():
+            service.socket.start()
+
+    def close(self) -> None:
+        """Release all addresses."""
+        for service in self._service_sockets.values():
+            service.socket.close()
+        self._agent_socket.close()
+
+    def send_to_agent(self, data: bytes, agent_number: AgentNumber) -> None:
+        """Send an encapsulated datagram to an agent."""
+        endpoint = self._endpoint_by_agent.get(agent_number)
+        if endpoint is None:
+            self.dropped["no_address"] += 1
+            return
+        self.forwarded += 1
+        self._agent_socket.send(data, endpoint)
+
+    def _on_agent_datagram(self, data: bytes, _address: tuple[str, int]) -> None:
+        try:
+            frame = self.encapsulation.decode(data)
+        except FrameRejectedError as error:
+            self.dropped[error.fault.value] += 1
+            return
+        service = self._service_sockets.get(frame.service_number)
+        if frame.kind is not FrameKind.TO_GUEST or service is None:
+            self.dropped["wrong_direction"] += 1
+            return
+        service.socket.send(frame.datagram, frame.guest)
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/errors.py
@@ -0,0 +1,59 @@
+"""Errors of the runtime library."""
+
+from __future__ import annotations
+
+from laburnumbridge.core import InvalidInputError
+from laburnumbridge.core import UnavailableError
+
+
+class PlatformUnavailableError(UnavailableError):
+    """The platform's service can't be reached or answers with an error."""
+
+    def __init__(self, *, url: str, reason: str) -> None:
+        super().__init__(f"the platform at {url} can't be read: {reason}")
+        self.url = url
+        self.reason = reason
+
+
+class AddressInUseError(UnavailableError):
+    """A local address can't be bound."""
+
+    def __init__(self, *, address: str, reason: str) -> None:
+        super().__init__(
+            f"can't listen on {address}: {reason}; check that no other process uses the address"
+        )
+        self.address = address
+        self.reason = reason
+
+
+class UpstreamNotReachedError(UnavailableError):
+    """No connection to the upstream was established, so nothing ran there."""
+
+    def __init__(self, *, url: str, reason: str) -> None:
+        super().__init__(f"upstream {url} can't be reached: {reason}")
+        self.url = url
+        self.reason = reason
+
+
+class UpstreamLostError(UnavailableError):
+    """The connection to the upstream was lost after bytes may have been sent."""
+
+    def __init__(self, *, url: str, reason: str) -> None:
+        super().__init__(f"upstream {url} was lost: {reason}")
+        self.url = url
+        self.reason = reason
+
+
+class GuestGoneError(UnavailableError):
+    """The guest has closed the stream or the connection."""
+
+    def __init__(self) -> None:
+        super().__init__("the guest is gone")
+
+
+class UnknownServiceError(InvalidInputError):
+    """The settings name a service that the platform doesn't publish."""
+
+    def __init__(self, *, service: str) -> None:
+        super().__init__(f"service {service!r} is not in the list of services")
+        self.service = service
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/fleet_view.py
@@ -0,0 +1,121 @@
+"""The lists in force in this process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import AgentNumber
+from laburnumbridge.core import ServiceNumber
+from laburnumbridge.lists import GuestDirectory
+from laburnumbridge.lists import GuestList
+from laburnumbridge.lists import PlanList
+from laburnumbridge.lists import ServiceList
+from laburnumbridge.lists import VmList
+from laburnumbridge.lists import parse_list
+from laburnumbridge.routing import AgentRoute
+from laburnumbridge.routing import AgentState
+from laburnumbridge.routing import TokenCodec
+from laburnumbridge.wire import Endpoint
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from laburnumbridge.lists import Vm
+
+MODEL_BY_NAME: dict[str, type[ServiceList | GuestList | PlanList | VmList]] = {
+    "services": ServiceList,
+    "guests": GuestList,
+    "plans": PlanList,
+    "vms": VmList,
+}
+
+
+class FleetView:
+    """Parsed lists with their versions; only a higher version replaces one in force."""
+
+    def __init__(self) -> None:
+        self.version_by_name: dict[str, int] = dict.fromkeys(MODEL_BY_NAME, 0)
+        self.services: ServiceList | None = None
+        self.guests: GuestList | None = None
+        self.plans: PlanList | None = None
+        self.vms = VmList()
+        self.directory: GuestDirectory | None = None
+        self.older_ignored = 0
+        self._gone_by_number: dict[AgentNumber, Vm] = {}
+        self._listeners: list[Callable[[str], None]] = []
+
+    @property
+    def is_complete(self) -> bool:
+        """True once every list is in force, so that the process can serve."""
+        return all(version > 0 for version in self.version_by_name.values())
+
+    def listen(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener(name)`` after each change."""
+        self._listeners.append(listener)
+
+    def accept(self, name: str, version: int, payload: bytes) -> bool:
+        """Put a version in force; return False for one that isn't higher.
+
+        Raises InvalidListError, and the version in force stays.
+        """
+        if version <= self.version_by_name[name]:
+            self.older_ignored += version < self.version_by_name[name]
+            return False
+        model = MODEL_BY_NAME[name]
+        parsed = parse_list(name, payload, model)
+        if isinstance(parsed, VmList):
+            self._note_gone(parsed)
+        if isinstance(parsed, GuestList):
+            self.directory = GuestDirectory(guests=parsed)
+        setattr(self, name, parsed)
+        self.version_by_name[name] = version
+        for listener in self._listeners:
+            listener(name)
+        return True
+
+    def balancer_endpoints(self) -> list[Endpoint]:
+        """Datagram addresses of the live balancers, in a stable order."""
+        return sorted(Endpoint.parse(vm.address) for vm in self.vms.balancers if vm.state == "live")
+
+    def endpoints_by_agent(self) -> dict[AgentNumber, Endpoint]:
+        """Datagram address of each agent, including those that left the list."""
+        agents = [*self._gone_by_number.values(), *self.vms.agents]
+        return {AgentNumber(vm.number or 0): Endpoint.parse(vm.address) for vm in agents}
+
+    def service_numbers(self) -> dict[str, ServiceNumber]:
+        """Number of each service by its name."""
+        known = self.services.services if self.services else ()
+        return {service.name: ServiceNumber(service.number) for service in known}
+
+    def token_codec(self) -> TokenCodec | None:
+        """The codec for the routing keys in force."""
+        if self.services is None:
+            return None
+        return TokenCodec(
+            keys_by_number=self.services.keys_by_number,
+            current_number=self.services.current_key_number,
+        )
+
+    def agent_routes(self) -> list[AgentRoute]:
+        """Routes from the platform's list alone."""
+        numbers = self.service_numbers()
+        states = {"live": AgentState.LIVE, "leaving": AgentState.LEAVING}
+        listed = [(vm, states[vm.state]) for vm in self.vms.agents]
+        gone = [(vm, AgentState.GONE) for vm in self._gone_by_number.values()]
+        return [
+            AgentRoute(
+                agent_number=AgentNumber(vm.number or 0),
+                service_number=numbers[vm.service],
+                state=state,
+            )
+            for vm, state in listed + gone
+            if vm.service in numbers
+        ]
+
+    def _note_gone(self, newer: VmList) -> None:
+        listed = {vm.number for vm in newer.agents}
+        for vm in self.vms.agents:
+            if vm.number not in listed:
+                self._gone_by_number[AgentNumber(vm.number or 0)] = vm
+        for number in listed & set(self._gone_by_number):
+            del self._gone_by_number[AgentNumber(number or 0)]
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_connection.py
@@ -0,0 +1,246 @@
+"""One guest's QUIC connection with HTTP/3 on it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from aioquic.asyncio.protocol import QuicConnectionProtocol
+from aioquic.buffer import encode_uint_var
+from aioquic.h3.connection import ErrorCode
+from aioquic.h3.connection import FrameType
+from aioquic.h3.connection import H3Connection
+from aioquic.h3.connection import encode_frame
+from aioquic.h3.events import DataReceived
+from aioquic.h3.events import HeadersReceived
+from aioquic.quic.events import ConnectionTerminated
+from aioquic.quic.events import HandshakeCompleted
+from aioquic.quic.events import ProtocolNegotiated
+from aioquic.quic.events import StopSendingReceived
+from aioquic.quic.events import StreamReset
+
+from laburnumbridge.runtime.errors import GuestGoneError
+from laburnumbridge.runtime.guest_request import GuestRequest
+from laburnumbridge.runtime.responder import Responder
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from aioquic.h3.events import H3Event
+    from aioquic.quic.events import QuicEvent
+
+    from laburnumbridge.runtime.responder import RequestHandler
+    from laburnumbridge.runtime.return_path import ReturnPath
+    from laburnumbridge.runtime.token_connection import TokenConnection
+
+KEEPALIVE_INTERVAL_S = 3.0
+UNSENT_LIMIT_BYTES = 256 * 1024
+
+_BACKPRESSURE_POLL_S = 0.01
+
+
+class StreamResponder(Responder):
+    """Answers on one HTTP/3 stream."""
+
+    def __init__(self, *, connection: GuestConnection, stream_id: int) -> None:
+        self._connection = connection
+        self._stream_id = stream_id
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """True once any part of the answer was sent."""
+        return self._started
+
+    async def start(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
+        """Send status and headers."""
+        fields = [(b":status", str(status).encode())]
+        fields += [(name.lower().encode(), value.encode()) for name, value in headers]
+        self._connection.require_open()
+        self._started = True
+        self._connection.http.send_headers(self._stream_id, fields)
+        self._connection.transmit_soon()
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body; waits while the guest is behind."""
+        self._connection.require_open()
+        self._connection.http.send_data(self._stream_id, chunk, end_stream=False)
+        self._connection.transmit_soon()
+        while self._connection.unsent_bytes(self._stream_id) > UNSENT_LIMIT_BYTES:
+            await asyncio.sleep(_BACKPRESSURE_POLL_S)
+            self._connection.require_open()
+
+    async def finish(self) -> None:
+        """Mark the answer as whole."""
+        self._connection.require_open()
+        self._connection.http.send_data(self._stream_id, b"", end_stream=True)
+        self._connection.transmit_soon()
+
+    def cut(self) -> None:
+        """Reset the stream with H3_INTERNAL_ERROR."""
+        self._connection.reset(self._stream_id, ErrorCode.H3_INTERNAL_ERROR)
+
+
+class GuestConnection(QuicConnectionProtocol):
+    """Turns HTTP/3 events into requests for a handler and keeps the connection alive."""
+
+    def __init__(
+        self,
+        *,
+        quic: TokenConnection,
+        path: ReturnPath,
+        handler: RequestHandler,
+        on_opened: Callable[[GuestConnection], None],
+        on_closed: Callable[[GuestConnection], None],
+    ) -> None:
+        super().__init__(quic)
+        self.path = path
+        self._http: H3Connection | None = None
+        self.opened = False
+        self.going_away = False
+        self._handler = handler
+        self._on_opened = on_opened
+        self._on_closed = on_closed
+        self._ended = False
+        self._request_by_stream: dict[int, GuestRequest] = {}
+        self._task_by_stream: dict[int, asyncio.Task[None]] = {}
+        self._keepalive: asyncio.TimerHandle | None = None
+        self._last_stream_id = 0
+        self.connection_made(path)
+
+    @property
+    def http(self) -> H3Connection:
+        """The HTTP/3 layer; raises GuestGoneError before the protocol is negotiated."""
+        if self._http is None:
+            raise GuestGoneError
+        return self._http
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that have no answer yet."""
+        return len(self._task_by_stream)
+
+    def require_open(self) -> None:
+        """Raise GuestGoneError once the connection has ended."""
+        if self._ended:
+            raise GuestGoneError
+
+    def transmit_soon(self) -> None:
+        """Send what is queued, once for all that is written in this turn of the loop."""
+        self._transmit_soon()
+
+    def unsent_bytes(self, stream_id: int) -> int:
+        """Bytes of a stream that the guest hasn't acknowledged.
+
+        aioquic buffers without a limit and has no public figure for it.
+        """
+        stream = self._quic._streams.get(stream_id)
+        if stream is None:
+            return 0
+        return stream.sender._buffer_stop - stream.sender._buffer_start
+
+    def reset(self, stream_id: int, error_code: int) -> None:
+        """Reset a stream towards the guest."""
+        if self._ended:
+            return
+        self._quic.reset_stream(stream_id, error_code)
+        self.transmit_soon()
+
+    def go_away(self) -> None:
+        """Ask the guest to open a new connection before it leaves this one (RFC 9114 5.2)."""
+        control = self._http._local_control_stream_id if self._http else None
+        if self._ended or self.going_away or not self.opened or control is None:
+            return
+        self.going_away = True
+        next_stream = encode_uint_var(self._last_stream_id + 4)
+        frame = encode_frame(FrameType.GOAWAY, next_stream)
+        self._quic.send_stream_data(control, frame)
+        self.transmit_soon()
+
+    def quic_event_received(self, event: QuicEvent) -> None:
+        """Handle one event of the connection."""
+        if isinstance(event, ProtocolNegotiated):
+            self._http = H3Connection(self._quic)
+        elif isinstance(event, HandshakeCompleted):
+            self.opened = True
+            self._schedule_keepalive()
+            self._on_opened(self)
+        elif isinstance(event, StreamReset | StopSendingReceived):
+            self._cancel(event.stream_id)
+        elif isinstance(event, ConnectionTerminated):
+            self._end()
+        if self._http is None:
+            return
+        for http_event in self._http.handle_event(event):
+            self._http_event_received(http_event)
+
+    def _http_event_received(self, event: H3Event) -> None:
+        if isinstance(event, HeadersReceived):
+            if event.stream_id not in self._request_by_stream:
+                self._begin(event)
+            if event.stream_ended:
+                self._request_by_stream[event.stream_id].body.finish()
+        elif isinstance(event, DataReceived):
+            request = self._request_by_stream.get(event.stream_id)
+            if request is None:
+                return
+            if event.data and not request.body.put(event.data):
+                self._cancel(event.stream_id)
+                self.reset(event.stream_id, ErrorCode.H3_EXCESSIVE_LOAD)
+            if event.stream_ended:
+                request.body.finish()
+
+    def _begin(self, event: HeadersReceived) -> None:
+        fields = [
+            (name.decode("latin-1"), value.decode("latin-1")) for name, value in event.headers
+        ]
+        pseudo = {name: value for name, value in fields if name.startswith(":")}
+        request = GuestRequest(
+            method=pseudo.get(":method", "GET"),
+            path=pseudo.get(":path", "/"),
+            authority=pseudo.get(":authority", ""),
+            headers=tuple(pair for pair in fields if not pair[0].startswith(":")),
+            source=self.path.guest.host,
+        )
+        self._last_stream_id = max(self._last_stream_id, event.stream_id)
+        self._request_by_stream[event.stream_id] = request
+        responder = StreamResponder(connection=self, stream_id=event.stream_id)
+        task = asyncio.create_task(self._run(request, responder))
+        self._task_by_stream[event.stream_id] = task
+        task.add_done_callback(lambda _: self._forget(event.stream_id))
+
+    async def _run(self, request: GuestRequest, responder: StreamResponder) -> None:
+        try:
+            await self._handler.handle(request, responder)
+        except GuestGoneError:
+            return
+
+    def _forget(self, stream_id: int) -> None:
+        self._task_by_stream.pop(stream_id, None)
+        self._request_by_stream.pop(stream_id, None)
+
+    def _cancel(self, stream_id: int) -> None:
+        task = self._task_by_stream.get(stream_id)
+        if task is not None:
+            task.cancel()
+
+    def _end(self) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        if self._keepalive is not None:
+            self._keepalive.cancel()
+        for task in list(self._task_by_stream.values()):
+            task.cancel()
+        self._on_closed(self)
+
+    def _schedule_keepalive(self) -> None:
+        self._keepalive = self._loop.call_later(KEEPALIVE_INTERVAL_S, self._send_keepalive)
+
+    def _send_keepalive(self) -> None:
+        if self._ended:
+            return
+        self._quic.send_ping(0)
+        self.transmit()
+        self._schedule_keepalive()
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_request.py
@@ -0,0 +1,69 @@
+"""A guest's request as the handlers see it."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+MAX_BUFFERED_BODY_BYTES = 4 * 1024 * 1024
+
+
+class RequestBody:
+    """The bytes of a request as they arrive.
+
+    ``put`` returns False where the reader is too far behind, so that memory stays bounded.
+    """
+
+    def __init__(self) -> None:
+        self._chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._buffered = 0
+
+    def put(self, chunk: bytes) -> bool:
+        """Add a chunk; return False over the limit."""
+        self._buffered += len(chunk)
+        self._chunks.put_nowait(chunk)
+        return self._buffered <= MAX_BUFFERED_BODY_BYTES
+
+    def finish(self) -> None:
+        """Mark the end of the body."""
+        self._chunks.put_nowait(None)
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        while True:
+            chunk = await self._chunks.get()
+            if chunk is None:
+                return
+            self._buffered -= len(chunk)
+            yield chunk
+
+    async def read(self, limit: int) -> bytes | None:
+        """Return the whole body, or None where it is longer than ``limit`` bytes."""
+        parts = []
+        size = 0
+        async for chunk in self:
+            size += len(chunk)
+            if size > limit:
+                return None
+            parts.append(chunk)
+        return b"".join(parts)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GuestRequest:
+    """Head and body of a request; header names are lower case, ``source`` is an IP address."""
+
+    method: str
+    path: str
+    authority: str
+    headers: tuple[tuple[str, str], ...]
+    source: str
+    body: RequestBody = field(default_factory=RequestBody)
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header."""
+        return next((value for known, value in self.headers if known == name), None)
--- /dev/null
+++ b/libs/settings/src/laburnumbridge/settings/agent_settings.py
@@ -0,0 +1,19 @@
+"""Settings of an agent."""
+
+from __future__ import annotations
+
+from pydantic import Field
+
+from laburnumbridge.settings.process_settings import ProcessSettings
+from laburnumbridge.settings.process_settings import TlsFiles
+
+
+class AgentSettings(ProcessSettings):
+    """``guest_tls`` is the certificate that guests see; it is that of the service."""
+
+    number: int = Field(ge=1, lt=1 << 24)
+    service: str = Field(min_length=1)
+    upstream_url: str = Field(pattern=r"^http://")
+    slots: int = Field(ge=1)
+    connections: int = Field(ge=1)
+    guest_tls: TlsFiles
--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/fabric.py
@@ -0,0 +1,132 @@
+"""Stand-in for the fabric: hands any packet to any balancer.
+
+For each guest it opens one socket, so that balancers see a source address per guest and answers
+find their way back. ``PUT /operator/balancers`` replaces the balancers of each service and
+``PUT /operator/faults`` sets ``{"cut": [balancer, ...], "loss": fraction}``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from pathlib import Path  # noqa: TC003, typer reads annotations at run time
+
+import typer
+import uvloop
+from aiohttp import web
+
+from laburnumbridge.runtime.udp_socket import UdpSocket
+from laburnumbridge.wire import Endpoint
+
+MAX_GUESTS = 5000
+
+
+class GuestPort:
+    """The socket that speaks to the balancers for one guest."""
+
+    def __init__(self, *, entry: ServiceEntry, guest: Endpoint) -> None:
+        self._entry = entry
+        self._guest = guest
+        host = entry.address.host
+        self.socket = UdpSocket(address=Endpoint(host, 0), on_datagram=self._on_answer)
+
+    def _on_answer(self, data: bytes, _address: tuple[str, int]) -> None:
+        self._entry.socket.send(data, self._guest)
+
+
+class ServiceEntry:
+    """The address of a service as guests see it."""
+
+    def __init__(self, *, fabric: FabricStandIn, service: str, address: Endpoint) -> None:
+        self._fabric = fabric
+        self._service = service
+        self._port_by_guest: dict[tuple[str, int], GuestPort] = {}
+        self.address = address
+        self.socket = UdpSocket(address=address, on_datagram=self._on_datagram)
+
+    def _on_datagram(self, data: bytes, guest: tuple[str, int]) -> None:
+        port = self._port_by_guest.get(guest)
+        if port is None:
+            if len(self._port_by_guest) >= MAX_GUESTS:
+                return
+            port = GuestPort(entry=self, guest=Endpoint(*guest))
+            port.socket.start()
+            self._port_by_guest[guest] = port
+        balancer = self._fabric.choose(self._service)
+        if balancer is not None:
+            port.socket.send(data, balancer)
+
+
+class FabricStandIn:
+    """Sprays datagrams over the balancers at random, from a seed."""
+
+    def __init__(self, *, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._loss = 0.0
+        self._cut: set[str] = set()
+        self._balancers_by_service: dict[str, dict[str, Endpoint]] = {}
+        self._entries: list[ServiceEntry] = []
+
+    def choose(self, service: str) -> Endpoint | None:
+        """Return the balancer for a datagram, or None where it is lost."""
+        balancers = self._balancers_by_service.get(service, {})
+        if not balancers or self._random.random() < self._loss:
+            return None
+        name = self._random.choice(list(balancers))
+        return None if name in self._cut else balancers[name]
+
+    def set_balancers(self, addresses: dict[str, dict[str, str]]) -> None:
+        """Replace the balancers: service name to balancer name to address."""
+        self._balancers_by_service = {
+            service: {name: Endpoint.parse(address) for name, address in balancers.items()}
+            for service, balancers in addresses.items()
+        }
+
+    def start(self, entries: dict[str, str]) -> None:
+        """Bind the address of each service."""
+        for service, address in entries.items():
+            entry = ServiceEntry(fabric=self, service=service, address=Endpoint.parse(address))
+            entry.socket.start()
+            self._entries.append(entry)
+
+    def application(self) -> web.Application:
+        """Return the HTTP application of the harness."""
+        application = web.Application()
+        application.add_routes(
+            [
+                web.put("/operator/balancers", self._put_balancers),
+                web.put("/operator/faults", self._put_faults),
+            ]
+        )
+        return application
+
+    async def _put_balancers(self, request: web.Request) -> web.Response:
+        self.set_balancers(await request.json())
+        return web.Response()
+
+    async def _put_faults(self, request: web.Request) -> web.Response:
+        faults = await request.json()
+        self._cut = set(faults.get("cut", []))
+        self._loss = float(faults.get("loss", 0.0))
+        return web.Response()
+
+
+async def serve(host: str, port: int, entries: Path, seed: int) -> None:
+    """Serve until cancelled."""
+    fabric = FabricStandIn(seed=seed)
+    fabric.start(json.loads(entries.read_bytes()))
+    runner = web.AppRunner(fabric.application(), access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, host, port).start()
+    await asyncio.Event().wait()
+
+
+def main(host: str, port: int, entries: Path, seed: int = 1) -> None:
+    """Serve the addresses in a JSON file (service name to address)."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(host, port, entries, seed))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/guest_fleet.py
@@ -0,0 +1,185 @@
+"""Many guests with long flows and requests, and what they experience."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from laburnumbridge.standins.errors import AnswerCutError
+from laburnumbridge.standins.errors import FlowBrokenError
+from laburnumbridge.standins.guest import connect
+from laburnumbridge.standins.harness import SERVER_NAME
+
+if TYPE_CHECKING:
+    from laburnumbridge.standins.guest import GuestFlow
+    from laburnumbridge.standins.harness import Harness
+
+READING_INTERVAL_S = 1.0
+RECONNECT_DELAY_S = 0.05
+OPEN_AT_ONCE = 20
+
+
+@dataclass(slots=True)
+class Experience:
+    """What the guests of a fleet saw, in counts."""
+
+    opened: int = 0
+    broken: int = 0
+    reconnected: int = 0
+    moved: int = 0
+    wrong_service: int = 0
+    readings_sent: int = 0
+    readings_answered: int = 0
+    requests_run: int = 0
+    requests_cut: int = 0
+    requests_unknown: int = 0
+    refused_by_reason: Counter[str] = field(default_factory=Counter)
+    break_reasons: Counter[str] = field(default_factory=Counter)
+    broken_by_upstream: Counter[str] = field(default_factory=Counter)
+    flows_by_upstream: Counter[str] = field(default_factory=Counter)
+    broken_at: list[float] = field(default_factory=list)
+
+    @property
+    def imbalance(self) -> float:
+        """Maximum divided by mean of the open flows over the upstreams that have any."""
+        counts = [count for count in self.flows_by_upstream.values() if count]
+        return max(counts) * len(counts) / sum(counts) if counts else 0.0
+
+
+class GuestFleet:
+    """Opens ``flows`` long flows to a service; each sends a reading every second.
+
+    A guest whose flow breaks opens a new one. One that gets a GOAWAY opens the new flow before
+    it leaves the old one, which doesn't count as broken.
+    """
+
+    def __init__(
+        self, *, harness: Harness, service: str, flows: int, requests_per_s: float = 0.0
+    ) -> None:
+        self._harness = harness
+        self._service = service
+        self._flows = flows
+        self._requests_per_s = requests_per_s
+        self._opening = asyncio.Semaphore(OPEN_AT_ONCE)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._ready = 0
+        self._all_ready = asyncio.Event()
+        self.seen = Experience()
+
+    async def start(self) -> None:
+        """Open all flows and wait until each has had its first answer."""
+        self._tasks = [asyncio.create_task(self._keep_flow()) for _ in range(self._flows)]
+        if self._requests_per_s:
+            self._tasks.append(asyncio.create_task(self._send_requests()))
+        if self._flows:
+            await self._all_ready.wait()
+
+    async def close(self) -> None:
+        """End all flows."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _connect(self) -> GuestFlow:
+        while True:
+            try:
+                async with self._opening:
+                    return await connect(
+                        self._harness.service_address(self._service),
+                        authority=self._harness.root_certificate,
+                        server_name=SERVER_NAME,
+                    )
+            except FlowBrokenError:
+                await asyncio.sleep(RECONNECT_DELAY_S)
+
+    async def _keep_flow(self) -> None:
+        first = True
+        flow: GuestFlow | None = None
+        while True:
+            flow = flow or await self._connect()
+            self.seen.opened += 1
+            self.seen.reconnected += not first
+            flow = await self._stream(flow, is_first=first)
+            first = False
+
+    async def _stream(self, flow: GuestFlow, *, is_first: bool) -> GuestFlow | None:
+        """Send readings until the flow breaks (None) or is replaced (the new flow)."""
+        upstream = ""
+        try:
+            stream_id, answer = flow.open_request("POST", "/readings", body=None)
+            sequence = 0
+            while True:
+                sequence += 1
+                flow.send(stream_id, f"{sequence}\n".encode())
+                self.seen.readings_sent += 1
+                line = await answer.body.get()
+                if isinstance(line, Exception):
+                    raise line
+                if line is None:
+                    raise AnswerCutError(error_code=0)
+                name = line.decode().split()[0]
+                self.seen.readings_answered += 1
+                self.seen.wrong_service += not name.startswith(self._service)
+                if not upstream:
+                    upstream = name
+                    self.seen.flows_by_upstream[upstream] += 1
+                    self._note_ready(is_first=is_first)
+                if flow.goaway_received:
+                    replacement = await self._connect()
+                    self.seen.moved += 1
+                    flow.send(stream_id, b"", end=True)
+                    flow.leave()
+                    return replacement
+                await asyncio.sleep(READING_INTERVAL_S)
+                if flow.broken is not None:
+                    raise FlowBrokenError(reason=flow.broken)
+        except (FlowBrokenError, AnswerCutError) as error:
+            self.seen.broken += 1
+            self.seen.broken_by_upstream[upstream] += 1
+            self.seen.break_reasons[str(error)] += 1
+            self.seen.broken_at.append(asyncio.get_running_loop().time())
+            if flow.broken is None:
+                flow.leave()
+            return None
+        finally:
+            if upstream:
+                self.seen.flows_by_upstream[upstream] -= 1
+
+    def _note_ready(self, *, is_first: bool) -> None:
+        self._ready += is_first
+        if self._ready == self._flows:
+            self._all_ready.set()
+
+    async def _send_requests(self) -> None:
+        """Send requests at the rate over one flow at a time."""
+        flow: GuestFlow | None = None
+        number = 0
+        while True:
+            if flow is None or flow.broken is not None or flow.goaway_received:
+                flow = await self._connect()
+            number += 1
+            self._tasks.append(asyncio.create_task(self._request(flow, number)))
+            await asyncio.sleep(1 / self._requests_per_s)
+
+    async def _request(self, flow: GuestFlow, number: int) -> None:
+        with contextlib.suppress(FlowBrokenError):
+            try:
+                path = f"/requests/{self._service}-{number}"
+                head, _ = await flow.request("POST", path, body=b"{}")
+            except AnswerCutError:
+                self.seen.requests_cut += 1
+                return
+            if "laburnumbridge-refusal" in head:
+                reason = head["laburnumbridge-refusal"].split(";")[0].removeprefix("reason=")
+                self.seen.refused_by_reason[reason] += 1
+            elif head.get("laburnumbridge-outcome") == "unknown":
+                self.seen.requests_unknown += 1
+            else:
+                self.seen.requests_run += 1
+                self.seen.wrong_service += head.get("service") != self._service
+            return
+        self.seen.requests_unknown += 1
--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/harness.py
@@ -0,0 +1,352 @@
+"""Starts the processes of a demonstration or a failure test on loopback addresses."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from laburnumbridge.standins.certificates import CertificateAuthority
+from laburnumbridge.standins.errors import ProcessNotReadyError
+from laburnumbridge.wire import Endpoint
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+LINK_KEY = "00112233445566778899aabbccddeeff"
+ROUTING_KEY = "0f1e2d3c4b5a69788796a5b4c3d2e1f0"
+DATAGRAM_PORT = 4700
+CONTROL_PORT = 4701
+SERVICE_PORT = 4433
+HTTP_PORT = 8080
+READY_TIMEOUT_S = 30.0
+SERVER_NAME = "service.example"
+
+_POLL_S = 0.05
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServicePlan:
+    """How many upstreams a service has and what each can take."""
+
+    name: str
+    upstreams: int
+    slots: int = 4
+    connections: int = 2000
+
+
+@dataclass(kw_only=True, slots=True)
+class Machine:
+    """A VM of the harness: an address and the processes on it."""
+
+    name: str
+    host: str
+    failure_domain: str
+    role: str
+    service: str | None = None
+    number: int | None = None
+    state: str = "live"
+    processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
+
+
+SWAN_COAST = (
+    ServicePlan(name="workshop-desk", upstreams=7),
+    ServicePlan(name="certificate-store", upstreams=4),
+)
+FAILURE_DOMAINS = ("welshpool", "osborne", "midland", "fremantle")
+
+
+class Harness:
+    """Owns the processes that it starts; ``close`` ends exactly those."""
+
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        services: tuple[ServicePlan, ...] = SWAN_COAST,
+        balancers: int = 3,
+        network: int | None = None,
+        work_ms: float = 20.0,
+    ) -> None:
+        # Each harness has its own part of 127.0.0.0/8, so that several can run at once.
+        chosen = os.getpid() % 200 + 20 if network is None else network
+        self._prefix = f"127.{chosen}"
+        self._folder = folder
+        self._services = services
+        self._work_ms = work_ms
+        self._balancer_count = balancers
+        self._authority = CertificateAuthority()
+        self._http: aiohttp.ClientSession | None = None
+        self._support: list[subprocess.Popen[bytes]] = []
+        self.machines_by_name: dict[str, Machine] = {}
+        self.lists: dict[str, object] = {}
+        self.root_certificate = folder / "root.pem"
+
+    def service_address(self, service: str) -> Endpoint:
+        """Address of a service as guests see it."""
+        index = [plan.name for plan in self._services].index(service)
+        return Endpoint(f"{self._prefix}.1.{index + 1}", SERVICE_PORT)
+
+    async def start(self) -> None:
+        """Start everything and wait until it serves."""
+        self._http = aiohttp.ClientSession()
+        self._authority.write_root(self.root_certificate)
+        self._authority.issue(SERVER_NAME, addresses=[], folder=self._folder)
+        self._lay_out()
+        self._build_lists()
+        self._start_support()
+        await asyncio.gather(
+            self._wait_http(f"{self._prefix}.0.1"), self._wait_http(f"{self._prefix}.0.2")
+        )
+        for machine in self.machines_by_name.values():
+            self.start_machine(machine)
+        await self.publish_balancers()
+        await asyncio.gather(*(self.wait_ready(m) for m in self.machines_by_name.values()))
+
+    async def close(self) -> None:
+        """End every process that this harness started."""
+        processes = [p for m in self.machines_by_name.values() for p in m.processes]
+        processes += self._support
+        for process in processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in processes:
+            process.wait()
+        if self._http is not None:
+            await self._http.close()
+
+    def start_machine(self, machine: Machine) -> None:
+        """Start the processes of a VM."""
+        if machine.role == "balancer":
+            settings = self._write(f"{machine.name}.json", self._balancer_settings(machine))
+            machine.processes = [
+                self._run(machine.name, "laburnumbridge.cli", "balancer", settings)
+            ]
+            return
+        settings = self._write(f"{machine.name}.json", self._agent_settings(machine))
+        upstream = [machine.host, str(HTTP_PORT), machine.name, str(machine.service)]
+        work = ["--work-ms", str(self._work_ms)]
+        machine.processes = [
+            self._run(
+                f"{machine.name}-upstream", "laburnumbridge.standins.upstream", *upstream, *work
+            ),
+            self._run(machine.name, "laburnumbridge.cli", "agent", settings),
+        ]
+
+    async def wait_ready(self, machine: Machine) -> None:
+        """Wait until a VM's own process has logged that it serves."""
+        log = self._folder / f"{machine.name}.log"
+        deadline = asyncio.get_running_loop().time() + READY_TIMEOUT_S
+        while b'"process_started"' not in log.read_bytes():
+            if machine.processes[-1].poll() is not None:
+                raise ProcessNotReadyError(name=machine.name, reason=log.read_text()[-500:])
+            if asyncio.get_running_loop().time() > deadline:
+                raise ProcessNotReadyError(name=machine.name, reason="timeout")
+            await asyncio.sleep(_POLL_S)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to every process of a VM."""
+        for process in self.machines_by_name[name].processes:
+            if process.poll() is None:
+                process.send_signal(number)
+
+    def add_balancer(self) -> Machine:
+        """Add a balancer to the lay-out; it isn't started yet."""
+        index = sum(m.role == "balancer" for m in self.machines_by_name.values())
+        return self._add_balancer(index)
+
+    async def publish_vms(self, *, without: tuple[str, ...] = ()) -> None:
+        """Publish the list of VMs."""
+        self.lists["vms"] = self._vm_list(without)
+        await self.publish("vms")
+
+    async def publish(self, name: str) -> None:
+        """Publish one list as it stands in ``lists``."""
+        await self._put(f"{self._prefix}.0.1", f"values/{name}", self.lists[name])
+
+    async def publish_balancers(self, *, without: tuple[str, ...] = ()) -> None:
+        """Tell the fabric which balancers there are."""
+        addresses = {
+            plan.name: {
+                m.name: f"{m.host}:{SERVICE_PORT + index}"
+                for m in self.machines_by_name.values()
+                if m.role == "balancer" and m.name not in without
+            }
+            for index, plan in enumerate(self._services)
+        }
+        await self._put(f"{self._prefix}.0.2", "balancers", addresses)
+
+    async def set_platform_faults(self, *, down: bool = False, stale: bool = False) -> None:
+        """Take the platform down, or make it answer with older versions."""
+        await self._put(f"{self._prefix}.0.1", "faults", {"down": down, "stale": stale})
+
+    async def set_fabric_faults(self, *, cut: tuple[str, ...] = (), loss: float = 0.0) -> None:
+        """Cut balancers off, or lose a fraction of the packets."""
+        await self._put(f"{self._prefix}.0.2", "faults", {"cut": list(cut), "loss": loss})
+
+    async def set_upstream_faults(self, name: str, *, shed: bool) -> None:
+        """Make an upstream shed load."""
+        host = self.machines_by_name[name].host
+        await self._put(host, "faults", {"shed": shed})
+
+    async def upstream_runs(self, name: str) -> dict[str, int]:
+        """How often an upstream ran each request id."""
+        assert self._http is not None
+        host = self.machines_by_name[name].host
+        async with self._http.get(f"http://{host}:{HTTP_PORT}/operator/runs") as answer:
+            runs: dict[str, int] = (await answer.json())["runs"]
+            return runs
+
+    def _lay_out(self) -> None:
+        for index in range(self._balancer_count):
+            self._add_balancer(index)
+        number = 0
+        for plan_index, plan in enumerate(self._services):
+            for index in range(plan.upstreams):
+                number += 1
+                name = f"{plan.name}-{index + 1}"
+                self.machines_by_name[name] = Machine(
+                    name=name,
+                    host=f"{self._prefix}.{10 + plan_index}.{index + 1}",
+                    failure_domain=FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)],
+                    role="agent",
+                    service=plan.name,
+                    number=number,
+                )
+
+    def _add_balancer(self, index: int) -> Machine:
+        machine = Machine(
+            name=f"balancer-{index + 1}",
+            host=f"{self._prefix}.2.{index + 1}",
+            failure_domain=FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)],
+            role="balancer",
+        )
+        self.machines_by_name[machine.name] = machine
+        return machine
+
+    def _build_lists(self) -> None:
+        names = [plan.name for plan in self._services]
+        self.lists = {
+            "services": {
+                "routing_keys": [{"number": 1, "key": ROUTING_KEY, "current": True}],
+                "services": [
+                    {
+                        "name": name,
+                        "number": index + 1,
+                        "address": str(self.service_address(name)),
+                        "streams": ["/readings"],
+                    }
+                    for index, name in enumerate(names)
+                ],
+            },
+            "guests": {"default_plan": "standard", "guests": []},
+            "plans": {"plans": [{"name": "standard", "services": names}]},
+            "vms": self._vm_list(()),
+        }
+
+    def _vm_list(self, without: tuple[str, ...]) -> dict[str, object]:
+        capacity = {plan.name: (plan.slots, plan.connections) for plan in self._services}
+        vms = []
+        for machine in self.machines_by_name.values():
+            if machine.name in without:
+                continue
+            vm: dict[str, object] = {
+                "name": machine.name,
+                "role": machine.role,
+                "failure_domain": machine.failure_domain,
+                "region": "perth",
+                "state": machine.state,
+                "address": f"{machine.host}:{DATAGRAM_PORT}",
+                "control_address": f"{machine.host}:{CONTROL_PORT}",
+            }
+            if machine.service is not None:
+                slots, connections = capacity[machine.service]
+                vm["number"] = machine.number
+                vm["service"] = machine.service
+                vm["slots"] = slots
+                vm["connections"] = connections
+            vms.append(vm)
+        return {"vms": vms}
+
+    def _process_settings(self, machine: Machine) -> dict[str, object]:
+        return {
+            "name": machine.name,
+            "region": "perth",
+            "failure_domain": machine.failure_domain,
+            "platform_url": f"http://{self._prefix}.0.1:{HTTP_PORT}",
+            "address": f"{machine.host}:{DATAGRAM_PORT}",
+            "control_address": f"{machine.host}:{CONTROL_PORT}",
+            "link_key": LINK_KEY,
+        }
+
+    def _balancer_settings(self, machine: Machine) -> dict[str, object]:
+        listen = {
+            plan.name: f"{machine.host}:{SERVICE_PORT + index}"
+            for index, plan in enumerate(self._services)
+        }
+        return {**self._process_settings(machine), "listen_by_service": listen}
+
+    def _agent_settings(self, machine: Machine) -> dict[str, object]:
+        plan = next(plan for plan in self._services if plan.name == machine.service)
+        return {
+            **self._process_settings(machine),
+            "number": machine.number,
+            "service": machine.service,
+            "upstream_url": f"http://{machine.host}:{HTTP_PORT}",
+            "slots": plan.slots,
+            "connections": plan.connections,
+            "guest_tls": {
+                "certificate": str(self._folder / f"{SERVER_NAME}.pem"),
+                "private_key": str(self._folder / f"{SERVER_NAME}.key"),
+            },
+        }
+
+    def _start_support(self) -> None:
+        lists = self._write("lists.json", self.lists)
+        entries = {plan.name: str(self.service_address(plan.name)) for plan in self._services}
+        entry_file = self._write("entries.json", entries)
+        platform = [f"{self._prefix}.0.1", str(HTTP_PORT), lists]
+        fabric = [f"{self._prefix}.0.2", str(HTTP_PORT), entry_file]
+        self._support = [
+            self._run("platform", "laburnumbridge.standins.platform", *platform),
+            self._run("fabric", "laburnumbridge.standins.fabric", *fabric),
+        ]
+
+    def _write(self, name: str, content: object) -> str:
+        path = self._folder / name
+        path.write_text(json.dumps(content))
+        return str(path)
+
+    def _run(self, name: str, module: str, *arguments: str) -> subprocess.Popen[bytes]:
+        log = (self._folder / f"{name}.log").open("wb")
+        with log:
+            return subprocess.Popen(
+                [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
+            )
+
+    async def _wait_http(self, host: str) -> None:
+        assert self._http is not None
+        deadline = asyncio.get_running_loop().time() + READY_TIMEOUT_S
+        while True:
+            try:
+                async with self._http.get(f"http://{host}:{HTTP_PORT}/"):
+                    return
+            except aiohttp.ClientConnectionError:
+                if asyncio.get_running_loop().time() > deadline:
+                    raise ProcessNotReadyError(name=host, reason="timeout") from None
+                await asyncio.sleep(_POLL_S)
+
+    async def _put(self, host: str, path: str, content: object) -> None:
+        assert self._http is not None
+        url = f"http://{host}:{HTTP_PORT}/operator/{path}"
+        async with self._http.put(url, json=content) as answer:
+            answer.raise_for_status()
--- /dev/null
+++ b/libs/telemetry/src/laburnumbridge/telemetry/event.py
@@ -0,0 +1,41 @@
+"""The catalogue of numbered log events."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Event(Enum):
+    """A log event: number, level and what it tells an operator.
+
+    Numbers are stable: 1xx processes, 2xx configuration, 3xx membership, 4xx flows and packets,
+    5xx requests and plans.
+    """
+
+    PROCESS_STARTED = (101, "info", "A process serves.")
+    PROCESS_STOPPING = (102, "info", "A process was told to stop and drains.")
+    PROCESS_STOPPED = (103, "info", "A process has closed its sockets.")
+    CLOCK_JUMPED = (104, "warning", "The process was paused; its view and leases are expired.")
+    LIST_IN_FORCE = (201, "info", "A new version of a list is in force.")
+    LIST_REJECTED = (202, "error", "A version of a list is not valid; the one in force stays.")
+    LIST_OLDER_IGNORED = (203, "warning", "An older version was offered and ignored.")
+    PLATFORM_UNAVAILABLE = (204, "warning", "The platform can't be read; versions stay in force.")
+    PLATFORM_AVAILABLE = (205, "info", "The platform can be read again.")
+    MEMBER_CHANGED = (301, "info", "The state of a process has changed in this view.")
+    PANIC_THRESHOLD = (302, "warning", "Too much seems dead at once; nothing is evicted.")
+    UPSTREAM_DRAINING = (303, "info", "The upstream leaves; it gets no new work.")
+    PACKET_DROPPED = (401, "debug", "A packet was dropped; the reason is counted.")
+    FLOW_RESET = (402, "info", "A flow whose agent is gone got a stateless reset.")
+    FLOW_OPENED = (403, "debug", "A guest's connection is open.")
+    FLOW_CLOSED = (404, "debug", "A guest's connection has ended.")
+    FLOW_HANDED_OFF = (405, "debug", "A handshake was handed to a less loaded sibling.")
+    REQUEST_REFUSED = (501, "info", "A request was refused before it ran.")
+    REQUEST_RETRIED = (502, "info", "A request is tried on another upstream.")
+    OUTCOME_UNKNOWN = (503, "warning", "An upstream was lost while a request ran.")
+    ANSWER_CUT = (504, "warning", "An answer was cut; the guest's stream was reset.")
+    UPSTREAM_SHED = (505, "info", "The upstream sheds load; fewer slots are used for a while.")
+
+    def __init__(self, number: int, level: str, description: str) -> None:
+        self.number = number
+        self.level = level
+        self.description = description
