Cache routing decisions by the holder in the token

Cause: the cache was keyed by connection ID. Decisions are now cached by agent, incarnation and service, which are the same for all flows of an agent; a smaller cache by connection ID stays for fleets with few flows.

--- a/libs/cli/src/laburnumbridge/cli/application.py
+++ b/libs/cli/src/laburnumbridge/cli/application.py
@@ -10,6 +10,7 @@
 
 from laburnumbridge.cli.commands.agent_command import AgentCommand
 from laburnumbridge.cli.commands.balancer_command import BalancerCommand
+from laburnumbridge.cli.commands.bench_command import BenchCommand
 from laburnumbridge.core import LaburnumbridgeError
 
 application = typer.Typer(
@@ -34,6 +35,19 @@
     AgentCommand(settings=settings).run()
 
 
+@application.command()
+def bench(
+    output: Annotated[
+        Path, typer.Option(help="JSON file that the figures are merged into.")
+    ] = Path("build/bench.json"),
+    only: Annotated[
+        list[str] | None, typer.Option(help="Run this benchmark only; may be repeated.")
+    ] = None,
+) -> None:
+    """Measure on this machine and write the figures as JSON."""
+    BenchCommand(output=output, only=only or []).run()
+
+
 def main() -> None:
     """Run the command; errors are one line on standard error with their own exit status."""
     try:
--- a/libs/routing/src/laburnumbridge/routing/router.py
+++ b/libs/routing/src/laburnumbridge/routing/router.py
@@ -16,6 +16,7 @@
 from laburnumbridge.routing.route_decision import RouteToAgent
 from laburnumbridge.routing.route_decision import SendStatelessReset
 from laburnumbridge.routing.token_codec import CONNECTION_ID_BYTES
+from laburnumbridge.routing.token_codec import HOLDER_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -26,8 +27,14 @@
     from laburnumbridge.routing.routing_token import RoutingToken
     from laburnumbridge.routing.token_codec import TokenCodec
 
-# A bounded cache of decisions by connection ID: a flow sends many packets under one ID.
-DECISION_CACHE_ENTRIES = 100_000
+# A balancer sees the packets of all flows of the fleet, so decisions are cached by the holder in
+# the token: there are only as many holders as agents. A second cache by connection ID saves the
+# decryption while the fleet has few flows.
+HOLDER_CACHE_ENTRIES = 20_000
+FLOW_CACHE_ENTRIES = 50_000
+
+_SHORT_HEADER_MIN = 0x40
+_SHORT_HEADER_END = 0x80
 
 _MALFORMED = Drop(DropReason.MALFORMED)
 _UNKNOWN_SERVICE = Drop(DropReason.UNKNOWN_SERVICE)
@@ -50,12 +57,13 @@
         self._routes_by_number: dict[AgentNumber, AgentRoute] = {}
         self._table_by_service: dict[ServiceNumber, MaglevTable] = {}
         self._services: set[ServiceNumber] = set()
-        self._decision_by_id: dict[tuple[int, bytes], RouteDecision] = {}
+        self._decision_by_holder: dict[tuple[int, bytes], RouteDecision] = {}
+        self._decision_by_flow: dict[tuple[int, bytes], RouteDecision] = {}
 
     def set_codec(self, codec: TokenCodec) -> None:
         """Replace the keys, after a rotation."""
         self._codec = codec
-        self._decision_by_id.clear()
+        self._forget_decisions()
 
     def set_routes(
         self, *, routes: Iterable[AgentRoute], services: Iterable[ServiceNumber]
@@ -80,17 +88,15 @@
             unchanged = known is not None and known.members == members
             tables[service] = known if unchanged and known else MaglevTable(members=members)
         self._table_by_service = tables
-        self._decision_by_id.clear()
+        self._forget_decisions()
 
     def route(self, datagram: bytes, service_number: ServiceNumber) -> RouteDecision:
         """Decide on one datagram that arrived at the address of ``service_number``."""
-        # The cache key of a short header needs no parsing; this is the path of most packets.
-        if datagram and 0x40 <= datagram[0] < 0x80:
-            key = (service_number, datagram[1 : 1 + CONNECTION_ID_BYTES])
-            decision = self._decision_by_id.get(key)
-            if decision is not None:
-                return decision
-        return self._route_uncached(datagram, service_number)
+        if datagram and _SHORT_HEADER_MIN <= datagram[0] < _SHORT_HEADER_END:
+            flow = (service_number, datagram[1 : 1 + CONNECTION_ID_BYTES])
+            known = self._decision_by_flow.get(flow)
+            return known if known is not None else self._route_short(*flow)
+        return self._route_long(datagram, service_number)
 
     def route_new(self, flow_key: bytes, service_number: ServiceNumber) -> RouteDecision:
         """Choose the agent that takes a new flow, by any stable key of the flow."""
@@ -113,7 +119,30 @@
             return _AGENT_GONE
         return RouteToAgent(token.agent_number)
 
-    def _route_uncached(self, datagram: bytes, service_number: ServiceNumber) -> RouteDecision:
+    def _route_short(self, service_number: ServiceNumber, connection_id: bytes) -> RouteDecision:
+        """Route a short header and remember the decision where its token is authentic."""
+        block = self._codec.open(connection_id)
+        if block is None:
+            is_short = len(connection_id) < CONNECTION_ID_BYTES
+            return _MALFORMED if is_short else _UNKNOWN_TOKEN
+        key = (service_number, block[:HOLDER_BYTES])
+        decision = self._decision_by_holder.get(key)
+        if decision is None:
+            decision = self._decide_holder(connection_id, service_number)
+            _remember(self._decision_by_holder, HOLDER_CACHE_ENTRIES, key, decision)
+        if decision is _AGENT_GONE:
+            decision = SendStatelessReset(self._codec.reset_token(connection_id))
+        flow = (service_number, connection_id)
+        _remember(self._decision_by_flow, FLOW_CACHE_ENTRIES, flow, decision)
+        return decision
+
+    def _decide_holder(self, connection_id: bytes, service_number: ServiceNumber) -> RouteDecision:
+        token = self._codec.decode(connection_id)
+        if service_number not in self._services:
+            return _UNKNOWN_SERVICE
+        return _UNKNOWN_TOKEN if token is None else self.route_token(token, service_number)
+
+    def _route_long(self, datagram: bytes, service_number: ServiceNumber) -> RouteDecision:
         header = parse_packet_header(datagram, short_id_bytes=CONNECTION_ID_BYTES)
         if header is None:
             return _MALFORMED
@@ -126,16 +155,19 @@
             if len(datagram) < MIN_INITIAL_DATAGRAM_BYTES:
                 return _SHORT_INITIAL
             return self.route_new(header.destination_id, service_number)
-        decision = self.route_token(token, service_number)
-        if decision is _AGENT_GONE and header.version is None:
-            decision = SendStatelessReset(self._codec.reset_token(header.destination_id))
-        if header.version is None:
-            self._remember(service_number, header.destination_id, decision)
-        return decision
-
-    def _remember(
-        self, service_number: ServiceNumber, connection_id: bytes, decision: RouteDecision
-    ) -> None:
-        if len(self._decision_by_id) >= DECISION_CACHE_ENTRIES:
-            self._decision_by_id.clear()
-        self._decision_by_id[service_number, connection_id] = decision
+        return self.route_token(token, service_number)
+
+    def _forget_decisions(self) -> None:
+        self._decision_by_holder.clear()
+        self._decision_by_flow.clear()
+
+
+def _remember(
+    cache: dict[tuple[int, bytes], RouteDecision],
+    limit: int,
+    key: tuple[int, bytes],
+    decision: RouteDecision,
+) -> None:
+    if len(cache) >= limit:
+        cache.clear()
+    cache[key] = decision
--- a/libs/routing/src/laburnumbridge/routing/token_codec.py
+++ b/libs/routing/src/laburnumbridge/routing/token_codec.py
@@ -22,6 +22,8 @@
 CONNECTION_ID_BYTES = 17
 KEY_BYTES = 16
 RESET_TOKEN_BYTES = 16
+# Agent number, incarnation and service number.
+HOLDER_BYTES = 9
 
 _CHECK_BYTES = 4
 _CHECK = bytes(_CHECK_BYTES)
@@ -63,15 +65,23 @@
         )
         return self._prefix + self._encrypt(block)
 
-    def decode(self, connection_id: bytes) -> RoutingToken | None:
-        """Return the token of a connection ID, or None if no key in force made it."""
+    def open(self, connection_id: bytes) -> bytes | None:
+        """Return the decrypted fields of an ID, or None if no key in force made it.
+
+        The first HOLDER_BYTES are the same for all flows of one agent incarnation.
+        """
         if len(connection_id) != CONNECTION_ID_BYTES:
             return None
         decrypt = self._decrypt_by_number.get(connection_id[0])
         if decrypt is None:
             return None
         block = decrypt(connection_id[1:])
-        if block[-_CHECK_BYTES:] != _CHECK:
+        return block if block.endswith(_CHECK) else None
+
+    def decode(self, connection_id: bytes) -> RoutingToken | None:
+        """Return the token of a connection ID, or None if no key in force made it."""
+        block = self.open(connection_id)
+        if block is None:
             return None
         return RoutingToken(
             agent_number=AgentNumber(int.from_bytes(block[0:3], "big")),
