Prove planned changes on real packets and add telemetry

Cause: nothing yet recorded outcomes or proved that planned changes break no flow. A test drives the whole system as processes: balancer killed, one frozen for 5 s, one added, platform down, upstream leaving.

--- /dev/null
+++ b/libs/standins/tests/test_planned_changes.py
@@ -0,0 +1,82 @@
+"""The whole system as processes on loopback, under changes that may break no flow."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+from laburnumbridge.standins.guest_fleet import GuestFleet
+from laburnumbridge.standins.harness import Harness
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+FLOWS = 200
+SETTLE_S = 2.0
+FREEZE_S = 5.0
+# A leaving upstream gets no new work after this time.
+LEAVING_BOUND_S = 3.0
+
+
+class TestPlannedChanges:
+    async def test_no_flow_breaks_and_none_reaches_another_service(self, tmp_path: Path) -> None:
+        # Guards P1, P2, P6 and P7 on real packets: a balancer killed, one frozen, one added, the
+        # platform down and an upstream drained, under 200 flows with a reading each second.
+        harness = Harness(folder=tmp_path, network=231)
+        desk = GuestFleet(harness=harness, service="workshop-desk", flows=FLOWS, requests_per_s=20)
+        store = GuestFleet(harness=harness, service="certificate-store", flows=40)
+        try:
+            await harness.start()
+            await asyncio.gather(desk.start(), store.start())
+            await self._kill_balancer(harness)
+            await self._freeze_balancer(harness)
+            await self._add_balancer(harness)
+            await self._interrupt_platform(harness)
+            await self._drain_upstream(harness, desk)
+        finally:
+            await asyncio.gather(desk.close(), store.close())
+            await harness.close()
+        for seen in (desk.seen, store.seen):
+            assert dict(seen.break_reasons) == {}
+            assert (seen.broken, seen.wrong_service, seen.requests_cut) == (0, 0, 0)
+            assert seen.requests_unknown == 0
+        assert desk.seen.requests_run > 0
+
+    async def _kill_balancer(self, harness: Harness) -> None:
+        harness.signal("balancer-1", signal.SIGKILL)
+        await asyncio.sleep(SETTLE_S)
+        await harness.publish_balancers(without=("balancer-1",))
+        await harness.publish_vms(without=("balancer-1",))
+
+    async def _freeze_balancer(self, harness: Harness) -> None:
+        harness.signal("balancer-2", signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_S)
+        harness.signal("balancer-2", signal.SIGCONT)
+
+    async def _add_balancer(self, harness: Harness) -> None:
+        machine = harness.add_balancer()
+        harness.start_machine(machine)
+        await harness.wait_ready(machine)
+        await harness.publish_balancers(without=("balancer-1",))
+        await harness.publish_vms(without=("balancer-1",))
+
+    async def _interrupt_platform(self, harness: Harness) -> None:
+        await harness.set_platform_faults(down=True)
+        await asyncio.sleep(SETTLE_S)
+        await harness.set_platform_faults()
+
+    async def _drain_upstream(self, harness: Harness, desk: GuestFleet) -> None:
+        leaving = "workshop-desk-3"
+        harness.machines_by_name[leaving].state = "leaving"
+        await harness.publish_vms(without=("balancer-1",))
+        await asyncio.sleep(LEAVING_BOUND_S)
+        held = desk.seen.flows_by_upstream[leaving]
+        late = GuestFleet(harness=harness, service="workshop-desk", flows=30)
+        try:
+            await late.start()
+            assert late.seen.flows_by_upstream[leaving] == 0
+            assert late.seen.broken == 0
+        finally:
+            await late.close()
+        assert desk.seen.flows_by_upstream[leaving] == held
--- /dev/null
+++ b/libs/telemetry/src/laburnumbridge/telemetry/outcome.py
@@ -0,0 +1,30 @@
+"""How a request ended, as service-level objectives count it."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class Outcome(StrEnum):
+    """The end of a request or flow.
+
+    Refusals by the plan's own limits and cancellations by the guest don't count against the
+    objectives; refusals for lack of capacity do.
+    """
+
+    ANSWERED = "answered"
+    REFUSED_PLAN = "refused_plan"
+    REFUSED_CAPACITY = "refused_capacity"
+    UNKNOWN = "unknown"
+    CUT = "cut"
+    CANCELLED = "cancelled"
+
+    @property
+    def counts(self) -> bool:
+        """True where the outcome is part of the objective's total."""
+        return self not in (Outcome.REFUSED_PLAN, Outcome.CANCELLED)
+
+    @property
+    def is_failure(self) -> bool:
+        """True where the outcome uses up error budget."""
+        return self in (Outcome.REFUSED_CAPACITY, Outcome.UNKNOWN, Outcome.CUT)
