Add admission for one upstream

An agent needs one place that decides what its upstream takes on: slots, open connections, a short queue, fairness between plans, slow start and shedding.

The state machine weighs the agent's own outcomes above the health and load endpoints: refused connections limit it to one probe at a time, and a "down" report does not stop work that succeeds. Plans share slot time by start-time fair queueing.

--- /dev/null
+++ b/libs/admission/src/laburnumbridge/admission/admission.py
@@ -0,0 +1,276 @@
+"""Admission of connections and requests at one upstream."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from laburnumbridge.admission.actions import AbortRequest
+from laburnumbridge.admission.actions import AcceptConnection
+from laburnumbridge.admission.actions import ExpireRequest
+from laburnumbridge.admission.actions import RefuseConnection
+from laburnumbridge.admission.actions import RefuseRequest
+from laburnumbridge.admission.actions import StartRequest
+from laburnumbridge.admission.admission_snapshot import AdmissionSnapshot
+from laburnumbridge.admission.connection_places import ConnectionPlaces
+from laburnumbridge.admission.events import ConnectionClosed
+from laburnumbridge.admission.events import ConnectionOpened
+from laburnumbridge.admission.events import DrainStarted
+from laburnumbridge.admission.events import HealthReported
+from laburnumbridge.admission.events import LoadReported
+from laburnumbridge.admission.events import PlanSharesChanged
+from laburnumbridge.admission.events import RequestAnswered
+from laburnumbridge.admission.events import RequestArrived
+from laburnumbridge.admission.events import RequestCancelled
+from laburnumbridge.admission.events import RequestFinished
+from laburnumbridge.admission.events import UpstreamStartedCold
+from laburnumbridge.admission.plan_use import PlanUse
+from laburnumbridge.admission.request_queue import QueuedRequest
+from laburnumbridge.admission.request_queue import RequestQueue
+from laburnumbridge.admission.upstream_capacity import UpstreamCapacity
+from laburnumbridge.core import Refusal
+from laburnumbridge.core import RefusalReason
+
+if TYPE_CHECKING:
+    from laburnumbridge.admission.actions import AdmissionAction
+    from laburnumbridge.admission.admission_settings import AdmissionSettings
+    from laburnumbridge.admission.events import AdmissionEvent
+    from laburnumbridge.admission.events import ConnectionId
+    from laburnumbridge.core import PlanName
+    from laburnumbridge.core import RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class _Running:
+    plan: PlanName
+    deadline: float
+
+
+class Admission:
+    """Decides what one upstream takes on; its agent owns it.
+
+    Every `RequestArrived` with a new identifier ends in exactly one of: a start, a refusal, an
+    expiry, or its own cancellation while queued. Refusals and expiries come before a start only.
+    """
+
+    def __init__(self, *, settings: AdmissionSettings) -> None:
+        self._settings = settings
+        self._capacity = UpstreamCapacity(slots=settings.slots, slow_start_s=settings.slow_start_s)
+        self._places = ConnectionPlaces(limit=settings.connections)
+        self._use = PlanUse()
+        self._queue = RequestQueue(use=self._use)
+        self._running_by_id: dict[RequestId, _Running] = {}
+        self._stream_by_id: dict[RequestId, ConnectionId | None] = {}
+        self._probe_id: RequestId | None = None
+        self._is_draining = False
+        self._list_version: int | None = None
+        self._now = -math.inf
+
+    def handle(self, event: AdmissionEvent, now: float) -> list[AdmissionAction]:
+        """Take one event; return what to do, in order.
+
+        Time never runs backwards: an earlier ``now`` counts as the latest one seen.
+        """
+        self._now = max(self._now, now)
+        actions: list[AdmissionAction] = []
+        # What ended frees its place before deadlines at the same instant are looked at.
+        if isinstance(event, RequestFinished):
+            self._finish(event)
+        elif isinstance(event, RequestCancelled):
+            self._cancel(event.request_id)
+        self._expire(actions)
+        self._take(event, actions)
+        self._start_queued(actions)
+        self._refuse_excess(actions)
+        return actions
+
+    def next_deadline(self) -> float:
+        """Return when the driver must send a `Tick`, or infinity."""
+        deadline = min((item.deadline for item in self._running_by_id.values()), default=math.inf)
+        if not self._queue:
+            return deadline
+        change = self._capacity.next_change(self._now)
+        return min(deadline, self._queue.next_deadline(), change)
+
+    def snapshot(self) -> AdmissionSnapshot:
+        """Return the counts as of the latest event."""
+        return AdmissionSnapshot(
+            slots=self._settings.slots,
+            usable_slots=self._capacity.usable(self._now),
+            busy_slots=len(self._running_by_id),
+            streams=len(self._stream_by_id),
+            queued=len(self._queue),
+            queue_limit=self._settings.queue_limit,
+            connections=self._places.used,
+            connection_limit=self._settings.connections,
+            is_draining=self._is_draining,
+            is_probing=self._capacity.is_probing,
+        )
+
+    def _take(self, event: AdmissionEvent, actions: list[AdmissionAction]) -> None:
+        match event:
+            case RequestArrived():
+                self._arrive(event, actions)
+            case RequestAnswered(request_id=request_id):
+                self._answer(request_id)
+            case ConnectionOpened():
+                self._open(event, actions)
+            case ConnectionClosed(connection_id=connection_id):
+                self._places.close(connection_id)
+            case HealthReported(is_up=is_up):
+                self._capacity.report_health(is_up=is_up, now=self._now)
+            case LoadReported(busy_slots=busy_slots):
+                running = len(self._running_by_id)
+                self._capacity.report_load(busy_slots=busy_slots, running=running, now=self._now)
+            case PlanSharesChanged():
+                self._use.set_shares(event.guaranteed_share_by_plan)
+                self._list_version = event.list_version
+            case DrainStarted():
+                self._is_draining = True
+            case UpstreamStartedCold():
+                self._capacity.start_cold(self._now)
+
+    def _open(self, event: ConnectionOpened, actions: list[AdmissionAction]) -> None:
+        connection_id = event.connection_id
+        if self._places.is_open(connection_id):
+            return
+        if self._is_draining:
+            refusal = self._refusal(RefusalReason.DRAINING, event.plan)
+            actions.append(RefuseConnection(connection_id, refusal))
+        elif not self._places.open(connection_id):
+            actions.append(RefuseConnection(connection_id, self._no_place(event.plan)))
+        else:
+            actions.append(AcceptConnection(connection_id))
+
+    def _arrive(self, event: RequestArrived, actions: list[AdmissionAction]) -> None:
+        request = QueuedRequest(event.request_id, event.plan, event.deadline)
+        if self._is_known(event.request_id):
+            return
+        if self._is_draining:
+            refusal = self._refusal(RefusalReason.DRAINING, event.plan)
+            actions.append(RefuseRequest(event.request_id, refusal))
+        elif event.deadline <= self._now:
+            actions.append(self._expiry(request))
+        elif event.is_stream:
+            self._start_stream(event, actions)
+        else:
+            self._queue.add(request)
+
+    def _start_stream(self, event: RequestArrived, actions: list[AdmissionAction]) -> None:
+        if self._capacity.is_probing and not self._may_start():
+            refusal = self._closed_refusal(event.plan)
+            actions.append(RefuseRequest(event.request_id, refusal))
+        elif not self._places.open_stream(event.connection_id):
+            actions.append(RefuseRequest(event.request_id, self._no_place(event.plan)))
+        else:
+            self._stream_by_id[event.request_id] = event.connection_id
+            self._note_probe(event.request_id)
+            actions.append(StartRequest(event.request_id))
+
+    def _answer(self, request_id: RequestId) -> None:
+        if self._is_known(request_id) and request_id not in self._queue:
+            self._forget_probe(request_id)
+            self._capacity.answer(self._now)
+
+    def _finish(self, event: RequestFinished) -> None:
+        running = len(self._running_by_id)
+        if self._release(event.request_id):
+            self._capacity.finish(
+                event.outcome, running=running, retry_after_s=event.retry_after_s, now=self._now
+            )
+
+    def _cancel(self, request_id: RequestId) -> None:
+        if self._queue.remove(request_id) is None:
+            self._release(request_id)
+
+    def _release(self, request_id: RequestId) -> bool:
+        self._forget_probe(request_id)
+        if request_id in self._stream_by_id:
+            self._places.close_stream(self._stream_by_id.pop(request_id))
+            return True
+        running = self._running_by_id.pop(request_id, None)
+        if running is None:
+            return False
+        self._use.finish(running.plan, self._now)
+        return True
+
+    def _expire(self, actions: list[AdmissionAction]) -> None:
+        actions.extend(self._expiry(request) for request in self._queue.take_expired(self._now))
+        overdue = [key for key, item in self._running_by_id.items() if item.deadline <= self._now]
+        for request_id in overdue:
+            self._release(request_id)
+            actions.append(AbortRequest(request_id))
+
+    def _start_queued(self, actions: list[AdmissionAction]) -> None:
+        while self._queue and self._may_start():
+            request = self._queue.take_next(self._now)
+            self._running_by_id[request.request_id] = _Running(request.plan, request.deadline)
+            self._use.start(request.plan, self._now)
+            self._note_probe(request.request_id)
+            actions.append(StartRequest(request.request_id))
+
+    def _refuse_excess(self, actions: list[AdmissionAction]) -> None:
+        if not self._queue:
+            return
+        closed_until = self._capacity.closed_until(self._now)
+        if closed_until > self._now:
+            # Told now, the guest or a sibling can still use the time that is left.
+            for request in self._queue.take_expired(closed_until):
+                refusal = self._closed_refusal(request.plan)
+                actions.append(RefuseRequest(request.request_id, refusal))
+        while len(self._queue) > self._settings.queue_limit:
+            request = self._queue.take_excess()
+            refusal = self._closed_refusal(request.plan)
+            actions.append(RefuseRequest(request.request_id, refusal))
+
+    def _may_start(self) -> bool:
+        if self._capacity.is_probing and self._probe_id is not None:
+            return False
+        return len(self._running_by_id) < self._capacity.usable(self._now)
+
+    def _note_probe(self, request_id: RequestId) -> None:
+        if self._capacity.is_probing:
+            self._probe_id = request_id
+            self._capacity.start_probe(self._now)
+
+    def _forget_probe(self, request_id: RequestId) -> None:
+        if self._probe_id == request_id:
+            self._probe_id = None
+
+    def _is_known(self, request_id: RequestId) -> bool:
+        if request_id in self._queue or request_id in self._stream_by_id:
+            return True
+        return request_id in self._running_by_id
+
+    def _expiry(self, request: QueuedRequest) -> ExpireRequest:
+        refusal = self._refusal(RefusalReason.DEADLINE_EXPIRED, request.plan)
+        return ExpireRequest(request.request_id, refusal)
+
+    def _closed_refusal(self, plan: PlanName) -> Refusal:
+        reason = self._capacity.refusal_reason(self._now)
+        used = len(self._queue)
+        return self._refusal(reason, plan, limit=self._settings.queue_limit, used=used)
+
+    def _no_place(self, plan: PlanName) -> Refusal:
+        limit = self._settings.connections
+        used = self._places.used
+        return self._refusal(RefusalReason.UPSTREAM_CONNECTIONS, plan, limit=limit, used=used)
+
+    def _refusal(
+        self,
+        reason: RefusalReason,
+        plan: PlanName,
+        *,
+        limit: float | None = None,
+        used: float | None = None,
+    ) -> Refusal:
+        pause_s = self._capacity.closed_until(self._now) - self._now
+        return Refusal(
+            reason=reason,
+            plan=plan,
+            limit=limit,
+            used=used,
+            list_version=self._list_version,
+            retry_after_s=pause_s if pause_s > 0 else None,
+        )
