--- /dev/null
+++ b/libs/placement/src/laburnumbridge/placement/events.py
@@ -0,0 +1,100 @@
+"""What `Placement` is told; times are monotonic seconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from laburnumbridge.core import AgentNumber
+
+
+class SiblingState(StrEnum):
+    """What membership says of an agent of the same service."""
+
+    LIVE = "live"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HandshakeArrived:
+    """The first packet of a connection, or a repeat of it, under a stable key."""
+
+    key: bytes
+    was_forwarded: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class FlowOpened:
+    """One more flow is open at this agent."""
+
+
+@dataclass(frozen=True, slots=True)
+class FlowClosed:
+    """One flow of this agent ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class BusySlotsChanged:
+    """The busy slots of this agent's upstream."""
+
+    busy_slots: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadReport:
+    """What an agent tells its siblings; ``busy_slots`` is a mean over some seconds."""
+
+    open_flows: int
+    connections: int
+    busy_slots: float
+    slots: int
+    slow_start_share: float = 1.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SiblingReported:
+    """A load report that was ``age_s`` old on arrival; ignored before `SiblingChanged`."""
+
+    agent_number: AgentNumber
+    report: LoadReport
+    age_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SiblingChanged:
+    """Membership has a new verdict on a sibling."""
+
+    agent_number: AgentNumber
+    state: SiblingState
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamStartedCold:
+    """This agent's upstream has just started."""
+
+
+@dataclass(frozen=True, slots=True)
+class DrainStarted:
+    """This agent's upstream is leaving."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """The time of `Placement.next_deadline` has come."""
+
+
+PlacementEvent = (
+    HandshakeArrived
+    | FlowOpened
+    | FlowClosed
+    | BusySlotsChanged
+    | SiblingReported
+    | SiblingChanged
+    | UpstreamStartedCold
+    | DrainStarted
+    | Tick
+)
