--- a/libs/admission/src/laburnumbridge/admission/admission.py
+++ b/libs/admission/src/laburnumbridge/admission/admission.py
@@ -174,7 +174,8 @@
             self._capacity.answer(self._now)
 
     def _finish(self, event: RequestFinished) -> None:
-        running = len(self._running_by_id)
+        # A shed stream says little about slots.
+        running = None if event.request_id in self._stream_by_id else len(self._running_by_id)
         if self._release(event.request_id):
             self._capacity.finish(
                 event.outcome, running=running, retry_after_s=event.retry_after_s, now=self._now
--- a/libs/admission/src/laburnumbridge/admission/upstream_capacity.py
+++ b/libs/admission/src/laburnumbridge/admission/upstream_capacity.py
@@ -72,8 +72,10 @@
         """Put off the next probe, because one is on its way."""
         self._next_probe_at = now + PROBE_INTERVAL_S
 
-    def finish(self, outcome: Outcome, *, running: int, retry_after_s: float, now: float) -> None:
-        """Weigh the outcome of one of ``running`` requests, itself included."""
+    def finish(
+        self, outcome: Outcome, *, running: int | None, retry_after_s: float, now: float
+    ) -> None:
+        """Weigh the outcome of one of ``running`` requests, itself included, or of a stream."""
         if outcome is Outcome.CONNECTION_REFUSED or outcome is Outcome.CONNECTION_LOST:
             self._count_lost(outcome, now)
             return
@@ -139,8 +141,12 @@
         if is_refused or self.is_probing or self._lost_in_a_row >= LOST_BEFORE_PROBING:
             self._next_probe_at = now + PROBE_INTERVAL_S
 
-    def _shed(self, *, running: int, retry_after_s: float, now: float) -> None:
-        self._shed_limit = max(0, min(self._shed_limit_at(now), running) - 1)
+    def _shed(self, *, running: int | None, retry_after_s: float, now: float) -> None:
+        limit = self._shed_limit_at(now)
+        if running is None:
+            self._shed_limit = max(min(limit, 1), limit - 1)
+        else:
+            self._shed_limit = max(0, min(limit, running) - 1)
         pause_s = min(max(retry_after_s, SHED_RECOVERY_STEP_S), MAX_RETRY_AFTER_S)
         self._shed_until = max(self._shed_until, now + pause_s)
 
--- a/libs/admission/tests/test_admission.py
+++ b/libs/admission/tests/test_admission.py
@@ -227,6 +227,15 @@
         assert _started(upstream.arrive("more", 6)) == []
         assert _started(upstream.admission.handle(Tick(), 7)) == ["more"]
 
+    def test_shed_streams_leave_one_slot(self) -> None:
+        # Guards against requests refused because only streams are too many.
+        upstream = Upstream(slots=4)
+        for n in range(5):
+            upstream.stream(f"s{n}", b"a", n)
+            upstream.finish(f"s{n}", n, Outcome.SHED, retry_after_s=30)
+        assert _started(upstream.arrive("a", 5)) == ["a"]
+        assert _started(upstream.arrive("b", 5)) == []
+
     def test_health_report_down_does_not_stop_succeeding_work(self) -> None:
         # Guards against an outage caused by a lying health endpoint.
         upstream = Upstream()
