Add the request coordinator and the key ledger

Requests had no defined behaviour when an upstream, a sibling or the guest is lost. The coordinator sends a non-idempotent request to an upstream at most once, retries idempotent ones inside a budget, and the ledger runs a keyed request at most once across changes of the agent set.

--- /dev/null
+++ b/libs/requests/src/laburnumbridge/requests/agent_id.py
@@ -0,0 +1,28 @@
+"""Identity of one running agent."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import hash64
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from laburnumbridge.core import Incarnation
+    from laburnumbridge.core import ProcessId
+
+
+@dataclass(frozen=True, order=True, slots=True)
+class AgentId:
+    """An agent process; a restarted agent has another incarnation and remembers nothing."""
+
+    process_id: ProcessId
+    incarnation: Incarnation
+
+
+def agent_set_digest(agents: Iterable[AgentId]) -> int:
+    """Return a hash by which two agents tell whether they see the same set of agents."""
+    names = [f"{agent.process_id}/{agent.incarnation}" for agent in sorted(agents)]
+    return hash64("\n".join(names).encode())
--- /dev/null
+++ b/libs/requests/src/laburnumbridge/requests/key_ledger.py
@@ -0,0 +1,362 @@
+"""Idempotency keys at one agent."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import Refusal
+from laburnumbridge.core import rendezvous_winner
+from laburnumbridge.requests.agent_id import agent_set_digest
+from laburnumbridge.requests.key_messages import AgentSetChanged
+from laburnumbridge.requests.key_messages import ArrivalRole
+from laburnumbridge.requests.key_messages import ClaimWithdrawn
+from laburnumbridge.requests.key_messages import KeyClaimed
+from laburnumbridge.requests.key_messages import KeyInquired
+from laburnumbridge.requests.key_messages import KeyReplied
+from laburnumbridge.requests.key_messages import KeyRunEnded
+from laburnumbridge.requests.key_messages import KeyStanding
+from laburnumbridge.requests.key_messages import RelayClaim
+from laburnumbridge.requests.key_messages import RunClaim
+from laburnumbridge.requests.key_messages import SendKeyInquiry
+from laburnumbridge.requests.key_messages import SendKeyReply
+from laburnumbridge.requests.key_messages import SettleClaim
+from laburnumbridge.requests.key_messages import Verdict
+from laburnumbridge.requests.key_record import KeyRecord
+from laburnumbridge.requests.key_record import KeyState
+from laburnumbridge.requests.stored_answer import StoredAnswer
+
+if TYPE_CHECKING:
+    from laburnumbridge.requests.agent_id import AgentId
+    from laburnumbridge.requests.key_messages import KeyAction
+    from laburnumbridge.requests.key_messages import KeyEvent
+
+RETENTION_S = 600.0  # how long a guest may repeat a key
+VIEW_LAG_S = 15.0  # by then every agent knows of a change to the agent set (P8)
+TRAVEL_S = 15.0  # longest time between a guest's send and its arrival; idle links close earlier
+PROOF_MARGIN_S = VIEW_LAG_S + TRAVEL_S
+KEPT_S = RETENTION_S + PROOF_MARGIN_S  # a repeat sent at the last moment still finds its record
+INQUIRY_TIMEOUT_S = 1.0  # a sibling answers within milliseconds or is in trouble
+MAX_KEYS = 20_000  # about 12 MB of records
+MAX_STORED_BYTES = 4 * 1024 * 1024  # an agent has 32 MB for all of its control state
+
+_HELD = frozenset({KeyState.RUNNING, KeyState.ANSWERED, KeyState.UNKNOWN})
+_BUSY = frozenset({KeyState.RUNNING, KeyState.PROVING})
+
+
+class KeyLedger:
+    """Runs a keyed request at most once, whatever the agents' views of each other.
+
+    A first send runs at the key's owner. A repeat of a key that the owner doesn't know runs only
+    after every agent of the set has said that it didn't run the key and won't, and only if no
+    agent has joined, left, restarted or forgotten keys since before the first send.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: AgentId,
+        now: float,
+        max_keys: int = MAX_KEYS,
+        max_stored_bytes: int = MAX_STORED_BYTES,
+    ) -> None:
+        self.own = own
+        self.agents: frozenset[AgentId] = frozenset({own})
+        self.ignored = 0
+        self._certain = True
+        self._covered_since = now
+        self._max_keys = max_keys
+        self._max_stored_bytes = max_stored_bytes
+        self._stored_bytes = 0
+        self._inquiries = 0
+        self._record_by_key: dict[str, KeyRecord] = {}
+        self._answered_by_key: dict[str, KeyRecord] = {}
+        self._proving: set[str] = set()
+        self._checks: deque[tuple[float, str]] = deque()
+
+    def handle(self, event: KeyEvent, now: float) -> list[KeyAction]:
+        """Apply one event at ``now`` (monotonic seconds)."""
+        match event:
+            case KeyClaimed():
+                return self._claim(event, now)
+            case KeyRunEnded():
+                return self._end_run(event, now)
+            case ClaimWithdrawn():
+                return self._withdraw(event)
+            case AgentSetChanged():
+                return self._change_agents(event, now)
+            case KeyInquired():
+                return [SendKeyReply(event.asker, self._reply(event, now))]
+            case KeyReplied():
+                return self._collect_reply(event, now)
+        return self._expire(now)
+
+    def knows(self, key: str) -> bool:
+        """Return True while anything is remembered about ``key``."""
+        return key in self._record_by_key
+
+    def _claim(self, claim: KeyClaimed, now: float) -> list[KeyAction]:
+        record = self._record_by_key.get(claim.key)
+        if record is None:
+            return self._claim_unknown(claim, now)
+        if record.fingerprint not in (None, claim.fingerprint):
+            return [SettleClaim(claim.request_id, Verdict.CONFLICT)]
+        match record.state:
+            case KeyState.RUNNING | KeyState.PROVING:
+                record.waiters.append(claim.request_id)
+                return []
+            case KeyState.ANSWERED if record.answer is not None:
+                return [SettleClaim(claim.request_id, record.answer)]
+            case KeyState.RELAYED if claim.role is ArrivalRole.GUEST:
+                return self._claim_unknown(claim, now)
+            case KeyState.RELAYED | KeyState.UNPROVEN:
+                return self._prove(claim, record, now)
+            case KeyState.FENCED:
+                return self._follow_fence(claim, record)
+            case KeyState.UNRUN if self._is_newer(claim, record):
+                return self._run(claim, record, now)
+        return [SettleClaim(claim.request_id, Verdict.UNKNOWN)]
+
+    def _claim_unknown(self, claim: KeyClaimed, now: float) -> list[KeyAction]:
+        if claim.role is ArrivalRole.KEY_HOLDER:
+            return [SettleClaim(claim.request_id, Verdict.UNKNOWN)]
+        owner = self._owner(claim.key)
+        record = self._record_by_key.get(claim.key)
+        if claim.role is ArrivalRole.GUEST and owner != self.own:
+            if record is None:
+                record = self._add(claim.key, KeyRecord(KeyState.RELAYED, now), now)
+            record.targets.add(owner)
+            record.touched_at = now
+            return [RelayClaim(claim.request_id, owner, ArrivalRole.KEY_OWNER)]
+        if record is not None:
+            return self._prove(claim, record, now)
+        record = self._add(claim.key, KeyRecord(KeyState.UNPROVEN, now), now)
+        if claim.age_s == 0:
+            return self._run(claim, record, now)
+        return self._prove(claim, record, now)
+
+    def _owner(self, key: str) -> AgentId:
+        agents_by_name = {str(agent.process_id): agent for agent in sorted(self.agents)}
+        winner = rendezvous_winner(key.encode(), agents_by_name)
+        return agents_by_name[winner] if winner is not None else self.own
+
+    def _follow_fence(self, claim: KeyClaimed, record: KeyRecord) -> list[KeyAction]:
+        (holder,) = record.targets
+        # One further hop at most, so that two agents never forward to each other in a circle.
+        if claim.role is ArrivalRole.KEY_HOLDER or holder not in self.agents:
+            return [SettleClaim(claim.request_id, Verdict.UNKNOWN)]
+        return [RelayClaim(claim.request_id, holder, ArrivalRole.KEY_HOLDER)]
+
+    @staticmethod
+    def _is_newer(claim: KeyClaimed, record: KeyRecord) -> bool:
+        # The guest was told "not run"; a late copy of an earlier send must not run after that.
+        if claim.age_s is None or record.age_s is None:
+            return True
+        return claim.age_s > record.age_s
+
+    def _run(self, claim: KeyClaimed, record: KeyRecord, now: float) -> list[KeyAction]:
+        record.state = KeyState.RUNNING
+        record.fingerprint = claim.fingerprint
+        record.age_s = claim.age_s
+        record.touched_at = now
+        return [RunClaim(claim.request_id)]
+
+    def _prove(self, claim: KeyClaimed, record: KeyRecord, now: float) -> list[KeyAction]:
+        self._inquiries += 1
+        record.state = KeyState.PROVING
+        record.fingerprint = claim.fingerprint
+        record.age_s = claim.age_s
+        record.touched_at = now
+        record.waiters = [claim.request_id]
+        record.inquiry = self._inquiries
+        # An agent that has gone can't be asked; its leaving shows in the coverage.
+        record.asked = self.agents - {self.own}
+        record.replies = {}
+        self._proving.add(claim.key)
+        # Siblings are asked even where coverage is too short: one of them may hold the answer.
+        if not record.asked:
+            return self._conclude(claim.key, record, now)
+        message = KeyInquired(record.inquiry, claim.key, self.own)
+        return [SendKeyInquiry(sibling, message) for sibling in sorted(record.asked)]
+
+    def _collect_reply(self, reply: KeyReplied, now: float) -> list[KeyAction]:
+        record = self._record_by_key.get(reply.key)
+        if record is None or record.state is not KeyState.PROVING:
+            self.ignored += 1
+            return []
+        # Inquiry numbers start again with each incarnation of the asker.
+        expected = reply.asker == self.own and reply.inquiry == record.inquiry
+        if not expected or reply.sibling not in record.asked:
+            self.ignored += 1
+            return []
+        record.replies[reply.sibling] = reply
+        if reply.standing is KeyStanding.HELD:
+            return self._point_to(reply.sibling, record, now)
+        if record.replies.keys() != record.asked:
+            return []
+        return self._conclude(reply.key, record, now)
+
+    def _point_to(self, holder: AgentId, record: KeyRecord, now: float) -> list[KeyAction]:
+        record.state = KeyState.FENCED
+        record.targets = {holder}
+        record.fingerprint = None
+        record.touched_at = now
+        waiters, record.waiters = record.waiters, []
+        return [RelayClaim(waiter, holder, ArrivalRole.KEY_HOLDER) for waiter in waiters]
+
+    def _conclude(self, key: str, record: KeyRecord, now: float) -> list[KeyAction]:
+        if not record.waiters:
+            record.state = KeyState.UNPROVEN
+            return []
+        if self._is_proved(record, now):
+            record.state = KeyState.RUNNING
+            record.touched_at = now
+            return [RunClaim(record.waiters.pop(0))]
+        record.state = KeyState.UNPROVEN
+        record.fingerprint = None
+        return self._settle(record, Verdict.UNKNOWN)
+
+    def _is_proved(self, record: KeyRecord, now: float) -> bool:
+        digest = agent_set_digest(self.agents)
+        needed_s = self._needed_coverage_s(record, now)
+        replies = record.replies
+        if record.asked != self.agents - {self.own} or replies.keys() != record.asked:
+            return False
+        return self._is_covered(record, now) and all(
+            reply.standing is KeyStanding.ABSENT
+            and reply.covered_s >= needed_s
+            and reply.agents_digest == digest
+            for reply in replies.values()
+        )
+
+    def _is_covered(self, record: KeyRecord, now: float) -> bool:
+        too_old = record.age_s is not None and record.age_s >= RETENTION_S
+        return not too_old and self._covered_s(now) >= self._needed_coverage_s(record, now)
+
+    @staticmethod
+    def _needed_coverage_s(record: KeyRecord, now: float) -> float:
+        age_s = RETENTION_S if record.age_s is None else record.age_s
+        return age_s + PROOF_MARGIN_S + (now - record.touched_at)
+
+    def _covered_s(self, now: float) -> float:
+        return now - self._covered_since if self._certain else 0.0
+
+    def _reply(self, inquired: KeyInquired, now: float) -> KeyReplied:
+        return KeyReplied(
+            inquiry=inquired.inquiry,
+            key=inquired.key,
+            asker=inquired.asker,
+            sibling=self.own,
+            standing=self._standing(inquired, now),
+            covered_s=self._covered_s(now),
+            agents_digest=agent_set_digest(self.agents),
+        )
+
+    def _standing(self, inquired: KeyInquired, now: float) -> KeyStanding:
+        record = self._record_by_key.get(inquired.key)
+        if record is None:
+            record = self._add(inquired.key, KeyRecord(KeyState.UNRUN, now), now)
+        if record.state in _HELD:
+            return KeyStanding.HELD
+        if record.state in (KeyState.PROVING, KeyState.UNPROVEN):
+            return KeyStanding.SEEN
+        if record.state is not KeyState.UNRUN and record.targets != {inquired.asker}:
+            return KeyStanding.SEEN
+        record.state = KeyState.FENCED
+        record.targets = {inquired.asker}
+        record.fingerprint = None
+        record.touched_at = now
+        return KeyStanding.ABSENT
+
+    def _end_run(self, ended: KeyRunEnded, now: float) -> list[KeyAction]:
+        record = self._record_by_key.get(ended.key)
+        if record is None or record.state is not KeyState.RUNNING:
+            self.ignored += 1
+            return []
+        record.touched_at = now
+        match ended.outcome:
+            case StoredAnswer():
+                self._store(ended.key, record, ended.outcome)
+            case Refusal():
+                record.state = KeyState.UNRUN
+            case _:
+                record.state = KeyState.UNKNOWN
+        return self._settle(record, ended.outcome)
+
+    def _store(self, key: str, record: KeyRecord, answer: StoredAnswer) -> None:
+        record.state = KeyState.UNKNOWN
+        if answer.size > self._max_stored_bytes:
+            return
+        while self._stored_bytes + answer.size > self._max_stored_bytes:
+            self._discard_answer(next(iter(self._answered_by_key)))
+        record.state = KeyState.ANSWERED
+        record.answer = answer
+        self._answered_by_key[key] = record
+        self._stored_bytes += answer.size
+
+    def _discard_answer(self, key: str) -> None:
+        record = self._answered_by_key.pop(key, None)
+        if record is None or record.answer is None:
+            return
+        self._stored_bytes -= record.answer.size
+        record.answer = None
+        record.state = KeyState.UNKNOWN
+
+    @staticmethod
+    def _settle(record: KeyRecord, outcome: StoredAnswer | Refusal | Verdict) -> list[KeyAction]:
+        waiters, record.waiters = record.waiters, []
+        return [SettleClaim(waiter, outcome) for waiter in waiters]
+
+    def _withdraw(self, withdrawn: ClaimWithdrawn) -> list[KeyAction]:
+        record = self._record_by_key.get(withdrawn.key)
+        if record is not None and withdrawn.request_id in record.waiters:
+            record.waiters.remove(withdrawn.request_id)
+        return []
+
+    def _change_agents(self, changed: AgentSetChanged, now: float) -> list[KeyAction]:
+        agents = changed.agents | {self.own}
+        if agents != self.agents or not (changed.certain and self._certain):
+            self._covered_since = now
+        self.agents = agents
+        self._certain = changed.certain
+        return []
+
+    def _expire(self, now: float) -> list[KeyAction]:
+        actions: list[KeyAction] = []
+        for key in sorted(self._proving):
+            record = self._record_by_key[key]
+            if record.state is not KeyState.PROVING:
+                self._proving.discard(key)
+            elif now - record.touched_at >= INQUIRY_TIMEOUT_S:
+                actions += self._conclude(key, record, now)
+        while self._checks and self._checks[0][0] <= now:
+            self._check(self._checks.popleft()[1], now)
+        return actions
+
+    def _check(self, key: str, now: float) -> None:
+        record = self._record_by_key.get(key)
+        if record is None:
+            return
+        kept_until = record.touched_at + KEPT_S
+        if record.state in _BUSY or kept_until > now:
+            self._checks.append((max(kept_until, now + PROOF_MARGIN_S), key))
+            return
+        self._remove(key)
+
+    def _add(self, key: str, record: KeyRecord, now: float) -> KeyRecord:
+        while len(self._record_by_key) >= self._max_keys:
+            idle = (k for k, r in self._record_by_key.items() if r.state not in _BUSY)
+            oldest: str | None = next(idle, None)
+            if oldest is None:
+                break
+            self._remove(oldest)
+            # Having forgotten a key, this agent can't vouch for what ran before now.
+            self._covered_since = now
+        self._record_by_key[key] = record
+        self._checks.append((now + KEPT_S, key))
+        return record
+
+    def _remove(self, key: str) -> None:
+        self._discard_answer(key)
+        self._proving.discard(key)
+        del self._record_by_key[key]
--- /dev/null
+++ b/libs/requests/src/laburnumbridge/requests/key_messages.py
@@ -0,0 +1,149 @@
+"""Events and actions of the ledger of idempotency keys."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from laburnumbridge.core import Refusal
+    from laburnumbridge.core import RequestId
+    from laburnumbridge.requests.agent_id import AgentId
+    from laburnumbridge.requests.stored_answer import StoredAnswer
+
+
+class ArrivalRole(StrEnum):
+    """Why a request came to this agent."""
+
+    GUEST = "guest"
+    RETRY = "retry"
+    KEY_OWNER = "key_owner"
+    KEY_HOLDER = "key_holder"
+
+
+class KeyStanding(StrEnum):
+    """What an agent knows about a key that a sibling asks for."""
+
+    ABSENT = "absent"  # not run here, and from now on only run by the agent that asked
+    HELD = "held"  # run or running here
+    SEEN = "seen"  # may have been run elsewhere
+
+
+class Verdict(StrEnum):
+    """An outcome without an answer of the upstream."""
+
+    UNKNOWN = "unknown"
+    CONFLICT = "conflict"  # the key was used with another request
+
+
+@dataclass(frozen=True, slots=True)
+class KeyClaimed:
+    """A keyed request wants to run.
+
+    ``key`` is unique within the service (the driver prefixes the guest). ``age_s`` is 0 for the
+    first send, seconds since the first send for a repeat, None for a guest that doesn't mark.
+    """
+
+    request_id: RequestId
+    key: str
+    fingerprint: int
+    age_s: float | None
+    role: ArrivalRole
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRunEnded:
+    """The run that ``RunClaim`` started has ended; a refusal proves that nothing ran."""
+
+    key: str
+    outcome: StoredAnswer | Refusal | Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimWithdrawn:
+    """A request no longer waits for the key."""
+
+    request_id: RequestId
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class AgentSetChanged:
+    """The service's agents, this one included; ``certain`` is False while the view is stale."""
+
+    agents: frozenset[AgentId]
+    certain: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class KeyInquired:
+    """A sibling asks whether this agent may have run a key."""
+
+    inquiry: int
+    key: str
+    asker: AgentId
+
+
+@dataclass(frozen=True, slots=True)
+class KeyReplied:
+    """A sibling's reply; it has seen every key for the last ``covered_s`` seconds."""
+
+    inquiry: int
+    key: str
+    asker: AgentId
+    sibling: AgentId
+    standing: KeyStanding
+    covered_s: float
+    agents_digest: int
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed; due at least every 100 ms."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunClaim:
+    """Run the request; report its end by ``KeyRunEnded``."""
+
+    request_id: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class RelayClaim:
+    """Forward the request to the agent that owns or holds its key."""
+
+    request_id: RequestId
+    sibling: AgentId
+    role: ArrivalRole
+
+
+@dataclass(frozen=True, slots=True)
+class SettleClaim:
+    """Answer the request without running it."""
+
+    request_id: RequestId
+    outcome: StoredAnswer | Refusal | Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class SendKeyInquiry:
+    """Deliver ``message`` to ``sibling``."""
+
+    sibling: AgentId
+    message: KeyInquired
+
+
+@dataclass(frozen=True, slots=True)
+class SendKeyReply:
+    """Deliver ``message`` to ``sibling``."""
+
+    sibling: AgentId
+    message: KeyReplied
+
+
+KeyEvent = (
+    KeyClaimed | KeyRunEnded | ClaimWithdrawn | AgentSetChanged | KeyInquired | KeyReplied | Tick
+)
+KeyAction = RunClaim | RelayClaim | SettleClaim | SendKeyInquiry | SendKeyReply
--- /dev/null
+++ b/libs/requests/src/laburnumbridge/requests/request_coordinator.py
@@ -0,0 +1,383 @@
+"""What happens to the requests at one agent."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import Refusal
+from laburnumbridge.core import RefusalReason
+from laburnumbridge.core import RequestId
+from laburnumbridge.core import rendezvous_rank
+from laburnumbridge.requests import actions as act
+from laburnumbridge.requests import events as ev
+from laburnumbridge.requests import key_messages as keys
+from laburnumbridge.requests.key_ledger import TRAVEL_S
+from laburnumbridge.requests.key_ledger import KeyLedger
+from laburnumbridge.requests.key_messages import ArrivalRole
+from laburnumbridge.requests.retry_budget import RetryBudget
+from laburnumbridge.requests.stored_answer import StoredAnswer
+from laburnumbridge.requests.tracked_request import Phase
+from laburnumbridge.requests.tracked_request import TrackedRequest
+
+if TYPE_CHECKING:
+    from laburnumbridge.requests.agent_id import AgentId
+
+DEFAULT_DEADLINE_S = 30.0
+MAX_DEADLINE_S = 120.0  # bounds how long a request is remembered
+MAX_TRIES = 3  # upstreams that one request may be sent to
+FINISHED_KEPT_S = 2 * TRAVEL_S  # doubled copies arrive sooner
+MAX_REQUESTS = 20_000  # unfinished and remembered ones; 30 s at several hundred a second
+SHED_STATUS = 503
+GATEWAY_TIMEOUT_STATUS = 504
+KEY_CONFLICT_STATUS = 422  # draft-ietf-httpapi-idempotency-key-header, section 2.7
+
+_NO_UPSTREAM = Refusal(reason=RefusalReason.NO_UPSTREAM)
+_QUEUE_FULL = Refusal(reason=RefusalReason.QUEUE_FULL)
+
+Actions = list[act.RequestAction]
+
+
+class RequestCoordinator:
+    """Runs a non-idempotent request at most once and retries idempotent ones.
+
+    Each arrival gets exactly one final answer. "Not run" is only said when no upstream can have
+    received a byte of the request.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: AgentId,
+        now: float,
+        ledger: KeyLedger | None = None,
+        max_requests: int = MAX_REQUESTS,
+    ) -> None:
+        self.own = own
+        self.ledger = ledger or KeyLedger(own=own, now=now)
+        self.ignored_by_event: Counter[str] = Counter()
+        self._max_requests = max_requests
+        self._budget = RetryBudget(now=now)
+        self._request_by_id: dict[RequestId, TrackedRequest] = {}
+        self._kept_until_by_id: dict[RequestId, float] = {}
+        self._deadlines: list[tuple[float, RequestId]] = []
+
+    def handle(self, event: ev.RequestEvent, now: float) -> Actions:
+        """Apply one event at ``now`` (monotonic seconds)."""
+        match event:
+            case ev.RequestArrived():
+                return self._arrive(event, now)
+            case keys.Tick():
+                return self._tick(now)
+            case keys.AgentSetChanged() | keys.KeyInquired() | keys.KeyReplied():
+                return self._ask_ledger(event, now)
+        request = self._request_by_id.get(event.request_id)
+        if request is None:
+            return self._ignore(event)
+        match event:
+            case ev.GuestGone():
+                return self._lose_guest(request, now)
+            case ev.AdmissionStarted() | ev.AdmissionRefused():
+                return self._admit(event, request, now)
+            case (
+                ev.SiblingNotConnected()
+                | ev.SiblingHeaders()
+                | ev.SiblingCompleted()
+                | ev.SiblingRefused()
+                | ev.SiblingLost()
+            ):
+                return self._hear_sibling(event, request, now)
+        if request.phase is not Phase.UPSTREAM:
+            return self._ignore(event)
+        return self._hear_upstream(event, request, now)
+
+    def _ignore(self, event: ev.RequestEvent) -> Actions:
+        self.ignored_by_event[type(event).__name__] += 1
+        return []
+
+    def _arrive(self, event: ev.RequestArrived, now: float) -> Actions:
+        request_id = event.request_id
+        if request_id in self._request_by_id or request_id in self._kept_until_by_id:
+            return self._ignore(event)
+        forwarded = event.role is not ArrivalRole.GUEST
+        if forwarded and event.addressee != self.own:
+            # An earlier incarnation may have received another copy and run it.
+            return [act.AnswerOutcomeUnknown(request_id)]
+        if len(self._request_by_id) + len(self._kept_until_by_id) >= self._max_requests:
+            # A forwarded request may come twice, and its second copy could run later.
+            unknown = act.AnswerOutcomeUnknown(request_id)
+            return [unknown if forwarded else act.AnswerRefused(request_id, _QUEUE_FULL)]
+        left_s = DEFAULT_DEADLINE_S if event.deadline_s is None else event.deadline_s
+        request = TrackedRequest(event, now + min(left_s, MAX_DEADLINE_S))
+        self._request_by_id[request_id] = request
+        if not forwarded:
+            self._budget.count_request(now)
+        if left_s <= 0:
+            return self._refuse(request, self._expired(request), now)
+        heapq.heappush(self._deadlines, (request.deadline_at, request_id))
+        if request.keyed:
+            return self._claim(request, now)
+        return self._queue(request)
+
+    def _claim(self, request: TrackedRequest, now: float) -> Actions:
+        arrival = request.arrival
+        claim = keys.KeyClaimed(
+            arrival.request_id,
+            arrival.key or "",
+            arrival.fingerprint,
+            arrival.first_attempt_age_s,
+            arrival.role,
+        )
+        return self._ask_ledger(claim, now)
+
+    def _ask_ledger(self, event: keys.KeyEvent, now: float) -> Actions:
+        actions: Actions = []
+        for action in self.ledger.handle(event, now):
+            actions += self._apply_key_action(action, now)
+        return actions
+
+    def _apply_key_action(self, action: keys.KeyAction, now: float) -> Actions:
+        if isinstance(action, keys.SendKeyInquiry | keys.SendKeyReply):
+            return [action]
+        request = self._request_by_id[action.request_id]
+        match action:
+            case keys.RunClaim():
+                request.runs_key = True
+                return self._queue(request)
+            case keys.RelayClaim():
+                return self._forward(request, action.sibling, action.role, now)
+            case keys.SettleClaim(_, StoredAnswer() as answer):
+                return self._finish(request, act.ReplayAnswer(action.request_id, answer), now)
+            case keys.SettleClaim(_, Refusal() as refusal):
+                return self._finish(request, act.AnswerRefused(action.request_id, refusal), now)
+            case keys.SettleClaim(_, keys.Verdict.CONFLICT):
+                conflict = act.AnswerStatus(action.request_id, KEY_CONFLICT_STATUS)
+                return self._finish(request, conflict, now)
+        return self._finish(request, act.AnswerOutcomeUnknown(action.request_id), now)
+
+    def _queue(self, request: TrackedRequest) -> Actions:
+        request.phase = Phase.QUEUED
+        arrival = request.arrival
+        return [act.AskAdmission(arrival.request_id, arrival.plan, request.deadline_at)]
+
+    def _admit(
+        self,
+        event: ev.AdmissionStarted | ev.AdmissionRefused,
+        request: TrackedRequest,
+        now: float,
+    ) -> Actions:
+        if request.phase is not Phase.QUEUED:
+            return self._ignore(event)
+        if isinstance(event, ev.AdmissionRefused):
+            return self._refuse(request, event.refusal, now)
+        if now >= request.deadline_at:
+            return self._refuse(request, self._expired(request), now)
+        request.phase = Phase.UPSTREAM
+        request.tries += 1
+        return [act.SendUpstream(event.request_id, request.remaining_ms(now))]
+
+    def _hear_upstream(
+        self, event: ev.RequestEvent, request: TrackedRequest, now: float
+    ) -> Actions:
+        match event:
+            case ev.UpstreamNotConnected() if not request.bytes_sent:
+                return self._retry_unrun(request, _NO_UPSTREAM, now)
+            case ev.UpstreamBytesSent():
+                request.bytes_sent = True
+                return []
+            case ev.UpstreamHeaders():
+                return self._start_upstream_answer(event, request, now)
+            case ev.UpstreamCompleted() if request.answer_started:
+                return self._complete(request, event.answer, now)
+            case ev.UpstreamCompleted():
+                return self._ignore(event)
+            case ev.UpstreamTimedOut():
+                cancel = act.CancelUpstream(request.arrival.request_id)
+                return [cancel, *self._lose_run(request, now)]
+        return self._lose_run(request, now)
+
+    def _start_upstream_answer(
+        self, event: ev.UpstreamHeaders, request: TrackedRequest, now: float
+    ) -> Actions:
+        if request.answer_started:
+            return self._ignore(event)
+        if event.status != SHED_STATUS or event.retry_after_s is None:
+            return self._start_answer(request, event.status)
+        refusal = Refusal(
+            reason=RefusalReason.UPSTREAM_SHEDDING,
+            plan=request.arrival.plan,
+            retry_after_s=event.retry_after_s,
+        )
+        if request.idempotent:
+            return self._retry_unrun(request, refusal, now)
+        # It has gone to an upstream, and it goes to one at most once.
+        return self._refuse(request, refusal, now)
+
+    def _hear_sibling(self, event: ev.SiblingEvent, request: TrackedRequest, now: float) -> Actions:
+        if request.phase is not Phase.SIBLING or event.attempt != request.attempt:
+            return self._ignore(event)
+        if isinstance(event, ev.SiblingHeaders) and not request.answer_started:
+            return self._start_answer(request, event.status)
+        if isinstance(event, ev.SiblingCompleted) and request.answer_started:
+            return self._complete(request, event.answer, now)
+        if isinstance(event, ev.SiblingLost):
+            return self._lose_run(request, now)
+        # A sibling that has begun to answer can't prove any more that nothing ran.
+        if request.answer_started or isinstance(event, ev.SiblingHeaders | ev.SiblingCompleted):
+            return self._ignore(event)
+        unconnected = isinstance(event, ev.SiblingNotConnected)
+        refusal = _NO_UPSTREAM if isinstance(event, ev.SiblingNotConnected) else event.refusal
+        if request.sibling_role is ArrivalRole.RETRY:
+            if request.idempotent or refusal.reason is RefusalReason.NO_UPSTREAM:
+                return self._retry_unrun(request, refusal, now)
+            return self._refuse(request, refusal, now)
+        # An unreachable owner says nothing about earlier sends of the same key.
+        if unconnected and not request.is_first_send:
+            return self._end_unknown(request, now)
+        return self._finish(request, act.AnswerRefused(event.request_id, refusal), now)
+
+    def _start_answer(self, request: TrackedRequest, status: int) -> Actions:
+        request.answer_started = True
+        if request.guest_gone:
+            return []
+        return [act.StartAnswer(request.arrival.request_id, status)]
+
+    def _complete(
+        self, request: TrackedRequest, answer: StoredAnswer | None, now: float
+    ) -> Actions:
+        outcome = answer or keys.Verdict.UNKNOWN
+        finish = act.FinishAnswer(request.arrival.request_id)
+        return self._finish(request, finish, now, outcome)
+
+    def _lose_run(self, request: TrackedRequest, now: float) -> Actions:
+        request.maybe_run = True
+        if request.answer_started:
+            return self._finish(request, act.CutAnswer(request.arrival.request_id), now)
+        if request.idempotent:
+            return self._retry(request, now) or self._end_unknown(request, now)
+        return self._end_unknown(request, now)
+
+    def _retry_unrun(self, request: TrackedRequest, refusal: Refusal, now: float) -> Actions:
+        return self._retry(request, now) or self._refuse(request, refusal, now)
+
+    def _retry(self, request: TrackedRequest, now: float) -> Actions:
+        if request.arrival.role is ArrivalRole.RETRY or request.tries >= MAX_TRIES:
+            return []
+        sibling = self._next_sibling(request)
+        if sibling is None or request.remaining_ms(now) <= 0 or not self._budget.try_take(now):
+            return []
+        request.tries += 1
+        released = self._release(request)
+        return released + self._forward(request, sibling, ArrivalRole.RETRY, now)
+
+    def _next_sibling(self, request: TrackedRequest) -> AgentId | None:
+        agents_by_name = {
+            str(agent.process_id): agent
+            for agent in sorted(self.ledger.agents - request.tried - {self.own})
+        }
+        ranked = rendezvous_rank(request.arrival.request_id.encode(), agents_by_name)
+        return agents_by_name[ranked[0]] if ranked else None
+
+    def _forward(
+        self, request: TrackedRequest, sibling: AgentId, role: ArrivalRole, now: float
+    ) -> Actions:
+        request.phase = Phase.SIBLING
+        request.attempt += 1
+        request.sibling = sibling
+        request.sibling_role = role
+        request.tried.add(sibling)
+        request_id = request.arrival.request_id
+        return [
+            act.ForwardToSibling(
+                request_id,
+                request.attempt,
+                RequestId(f"{request_id}/{request.attempt}"),
+                sibling,
+                role,
+                request.remaining_ms(now),
+            )
+        ]
+
+    def _lose_guest(self, request: TrackedRequest, now: float) -> Actions:
+        drop = act.DropAnswer(request.arrival.request_id)
+        if not request.runs_key:
+            return self._stop(request) + self._finish(request, drop, now)
+        if request.guest_gone:
+            return []
+        # The run goes on, and its answer waits for the repeat.
+        request.guest_gone = True
+        return [drop]
+
+    def _tick(self, now: float) -> Actions:
+        actions = self._ask_ledger(keys.Tick(), now)
+        while self._deadlines and self._deadlines[0][0] <= now:
+            request = self._request_by_id.get(heapq.heappop(self._deadlines)[1])
+            if request is not None:
+                actions += self._expire(request, now)
+        for request_id, kept_until in list(self._kept_until_by_id.items()):
+            if kept_until > now:
+                break
+            del self._kept_until_by_id[request_id]
+        return actions
+
+    def _expire(self, request: TrackedRequest, now: float) -> Actions:
+        request_id = request.arrival.request_id
+        if request.phase is Phase.QUEUED:
+            return self._refuse(request, self._expired(request), now)
+        stopped = self._stop(request)
+        if request.answer_started:
+            return stopped + self._finish(request, act.CutAnswer(request_id), now)
+        if request.idempotent:
+            timeout = act.AnswerStatus(request_id, GATEWAY_TIMEOUT_STATUS)
+            return stopped + self._finish(request, timeout, now)
+        return stopped + self._end_unknown(request, now)
+
+    def _stop(self, request: TrackedRequest) -> Actions:
+        request_id = request.arrival.request_id
+        if request.phase is Phase.UPSTREAM:
+            return [act.CancelUpstream(request_id)]
+        if request.phase is Phase.SIBLING and request.sibling is not None:
+            return [act.CancelSibling(request_id, request.attempt, request.sibling)]
+        return []
+
+    def _refuse(self, request: TrackedRequest, refusal: Refusal, now: float) -> Actions:
+        # The ledger has proved a key that runs here unrun; otherwise only a first send is.
+        if request.maybe_run or not (request.runs_key or request.is_first_send):
+            return self._end_unknown(request, now)
+        refused = act.AnswerRefused(request.arrival.request_id, refusal)
+        return self._finish(request, refused, now, refusal)
+
+    def _end_unknown(self, request: TrackedRequest, now: float) -> Actions:
+        return self._finish(request, act.AnswerOutcomeUnknown(request.arrival.request_id), now)
+
+    def _finish(
+        self,
+        request: TrackedRequest,
+        answer: act.FinalAnswer,
+        now: float,
+        outcome: StoredAnswer | Refusal | keys.Verdict = keys.Verdict.UNKNOWN,
+    ) -> Actions:
+        request_id = request.arrival.request_id
+        del self._request_by_id[request_id]
+        self._kept_until_by_id[request_id] = now + FINISHED_KEPT_S
+        actions = self._release(request)
+        if not request.guest_gone:
+            actions.append(answer)
+        if request.runs_key:
+            ended = keys.KeyRunEnded(request.arrival.key or "", outcome)
+            actions += self._ask_ledger(ended, now)
+        elif request.phase is Phase.KEY and request.keyed:
+            withdrawn = keys.ClaimWithdrawn(request_id, request.arrival.key or "")
+            actions += self._ask_ledger(withdrawn, now)
+        return actions
+
+    @staticmethod
+    def _release(request: TrackedRequest) -> Actions:
+        if request.phase not in (Phase.QUEUED, Phase.UPSTREAM):
+            return []
+        return [act.ReleaseAdmission(request.arrival.request_id)]
+
+    @staticmethod
+    def _expired(request: TrackedRequest) -> Refusal:
+        return Refusal(reason=RefusalReason.DEADLINE_EXPIRED, plan=request.arrival.plan)
