Prove a key unrun only against every listed agent

In a partition an agent saw only its own side, took its view for settled after the proof margin and could have run a key that the other side had run. The agent set now carries a version and the platform's listed agents, and an answer's end that overtakes its beginning is kept until then.

--- a/libs/requests/src/laburnumbridge/requests/key_ledger.py
+++ b/libs/requests/src/laburnumbridge/requests/key_ledger.py
@@ -27,6 +27,7 @@
 from laburnumbridge.requests.stored_answer import StoredAnswer
 
 if TYPE_CHECKING:
+    from laburnumbridge.core import ProcessId
     from laburnumbridge.requests.agent_id import AgentId
     from laburnumbridge.requests.key_messages import KeyAction
     from laburnumbridge.requests.key_messages import KeyEvent
@@ -48,8 +49,8 @@
     """Runs a keyed request at most once, whatever the agents' views of each other.
 
     A first send runs at the key's owner. A repeat of a key that the owner doesn't know runs only
-    after every agent of the set has said that it didn't run the key and won't, and only if no
-    agent has joined, left, restarted or forgotten keys since before the first send.
+    after every agent that the platform lists has said that it didn't run the key and won't, and
+    only if no agent has joined, left, restarted or forgotten keys since before the first send.
     """
 
     def __init__(
@@ -63,7 +64,9 @@
         self.own = own
         self.agents: frozenset[AgentId] = frozenset({own})
         self.ignored = 0
-        self._certain = True
+        self._certain = False  # until the first view
+        self._version = -1
+        self._listed: frozenset[ProcessId] = frozenset()
         self._covered_since = now
         self._max_keys = max_keys
         self._max_stored_bytes = max_stored_bytes
@@ -103,8 +106,7 @@
             return [SettleClaim(claim.request_id, Verdict.CONFLICT)]
         match record.state:
             case KeyState.RUNNING | KeyState.PROVING:
-                record.waiters.append(claim.request_id)
-                return []
+                return self._join(claim, record)
             case KeyState.ANSWERED if record.answer is not None:
                 return [SettleClaim(claim.request_id, record.answer)]
             case KeyState.RELAYED if claim.role is ArrivalRole.GUEST:
@@ -117,6 +119,14 @@
                 return self._run(claim, record, now)
         return [SettleClaim(claim.request_id, Verdict.UNKNOWN)]
 
+    @staticmethod
+    def _join(claim: KeyClaimed, record: KeyRecord) -> list[KeyAction]:
+        record.waiters.append(claim.request_id)
+        # A waiter may be told "not run" too, after which no copy as old as it may run.
+        if claim.age_s is not None and record.age_s is not None:
+            record.age_s = max(claim.age_s, record.age_s)
+        return []
+
     def _claim_unknown(self, claim: KeyClaimed, now: float) -> list[KeyAction]:
         if claim.role is ArrivalRole.KEY_HOLDER:
             return [SettleClaim(claim.request_id, Verdict.UNKNOWN)]
@@ -222,6 +232,9 @@
         replies = record.replies
         if record.asked != self.agents - {self.own} or replies.keys() != record.asked:
             return False
+        # In a partition the other side's agents are still listed, and may have run the key.
+        if not self._listed <= {agent.process_id for agent in self.agents}:
+            return False
         return self._is_covered(record, now) and all(
             reply.standing is KeyStanding.ABSENT
             and reply.covered_s >= needed_s
@@ -314,10 +327,16 @@
         return []
 
     def _change_agents(self, changed: AgentSetChanged, now: float) -> list[KeyAction]:
+        if changed.version <= self._version:
+            self.ignored += 1
+            return []
+        self._version = changed.version
         agents = changed.agents | {self.own}
-        if agents != self.agents or not (changed.certain and self._certain):
+        same = agents == self.agents and changed.listed == self._listed
+        if not (same and changed.certain and self._certain):
             self._covered_since = now
         self.agents = agents
+        self._listed = changed.listed
         self._certain = changed.certain
         return []
 
--- a/libs/requests/src/laburnumbridge/requests/key_messages.py
+++ b/libs/requests/src/laburnumbridge/requests/key_messages.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from laburnumbridge.core import ProcessId
     from laburnumbridge.core import Refusal
     from laburnumbridge.core import RequestId
     from laburnumbridge.requests.agent_id import AgentId
@@ -70,9 +71,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AgentSetChanged:
-    """The service's agents, this one included; ``certain`` is False while the view is stale."""
+    """The service's agents.
 
+    ``agents`` are those that this agent believes alive, ``listed`` those that the platform lists,
+    reachable or not: an agent behind a partition may still run requests. ``certain`` is False
+    while the platform's list is older than the bound for changes (15 s). ``version`` grows.
+    """
+
+    version: int
     agents: frozenset[AgentId]
+    listed: frozenset[ProcessId]
     certain: bool = True
 
 
--- a/libs/requests/src/laburnumbridge/requests/request_coordinator.py
+++ b/libs/requests/src/laburnumbridge/requests/request_coordinator.py
@@ -188,10 +188,8 @@
                 return []
             case ev.UpstreamHeaders():
                 return self._start_upstream_answer(event, request, now)
-            case ev.UpstreamCompleted() if request.answer_started:
-                return self._complete(request, event.answer, now)
             case ev.UpstreamCompleted():
-                return self._ignore(event)
+                return self._complete(event, request, now)
             case ev.UpstreamTimedOut():
                 cancel = act.CancelUpstream(request.arrival.request_id)
                 return [cancel, *self._lose_run(request, now)]
@@ -203,7 +201,7 @@
         if request.answer_started:
             return self._ignore(event)
         if event.status != SHED_STATUS or event.retry_after_s is None:
-            return self._start_answer(request, event.status)
+            return self._start_answer(request, event.status, now)
         refusal = Refusal(
             reason=RefusalReason.UPSTREAM_SHEDDING,
             plan=request.arrival.plan,
@@ -218,13 +216,13 @@
         if request.phase is not Phase.SIBLING or event.attempt != request.attempt:
             return self._ignore(event)
         if isinstance(event, ev.SiblingHeaders) and not request.answer_started:
-            return self._start_answer(request, event.status)
-        if isinstance(event, ev.SiblingCompleted) and request.answer_started:
-            return self._complete(request, event.answer, now)
+            return self._start_answer(request, event.status, now)
+        if isinstance(event, ev.SiblingCompleted):
+            return self._complete(event, request, now)
         if isinstance(event, ev.SiblingLost):
             return self._lose_run(request, now)
         # A sibling that has begun to answer can't prove any more that nothing ran.
-        if request.answer_started or isinstance(event, ev.SiblingHeaders | ev.SiblingCompleted):
+        if request.answer_started or isinstance(event, ev.SiblingHeaders):
             return self._ignore(event)
         unconnected = isinstance(event, ev.SiblingNotConnected)
         refusal = _NO_UPSTREAM if isinstance(event, ev.SiblingNotConnected) else event.refusal
@@ -237,16 +235,24 @@
             return self._end_unknown(request, now)
         return self._finish(request, act.AnswerRefused(event.request_id, refusal), now)
 
-    def _start_answer(self, request: TrackedRequest, status: int) -> Actions:
+    def _start_answer(self, request: TrackedRequest, status: int, now: float) -> Actions:
         request.answer_started = True
-        if request.guest_gone:
-            return []
-        return [act.StartAnswer(request.arrival.request_id, status)]
+        started = act.StartAnswer(request.arrival.request_id, status)
+        actions: Actions = [] if request.guest_gone else [started]
+        if request.early_end is not None:
+            actions += self._complete(request.early_end, request, now)
+        return actions
 
     def _complete(
-        self, request: TrackedRequest, answer: StoredAnswer | None, now: float
+        self,
+        event: ev.UpstreamCompleted | ev.SiblingCompleted,
+        request: TrackedRequest,
+        now: float,
     ) -> Actions:
-        outcome = answer or keys.Verdict.UNKNOWN
+        if not request.answer_started:
+            request.early_end = event
+            return []
+        outcome = event.answer or keys.Verdict.UNKNOWN
         finish = act.FinishAnswer(request.arrival.request_id)
         return self._finish(request, finish, now, outcome)
 
@@ -284,6 +290,7 @@
     ) -> Actions:
         request.phase = Phase.SIBLING
         request.attempt += 1
+        request.early_end = None
         request.sibling = sibling
         request.sibling_role = role
         request.tried.add(sibling)
--- a/libs/requests/src/laburnumbridge/requests/tracked_request.py
+++ b/libs/requests/src/laburnumbridge/requests/tracked_request.py
@@ -14,6 +14,8 @@
     from laburnumbridge.core import Refusal
     from laburnumbridge.requests.agent_id import AgentId
     from laburnumbridge.requests.events import RequestArrived
+    from laburnumbridge.requests.events import SiblingCompleted
+    from laburnumbridge.requests.events import UpstreamCompleted
 
 
 class Phase(StrEnum):
@@ -40,6 +42,7 @@
     bytes_sent: bool = False
     maybe_run: bool = False
     answer_started: bool = False
+    early_end: UpstreamCompleted | SiblingCompleted | None = None
     guest_gone: bool = False
     runs_key: bool = False
     refusal: Refusal | None = None
