--- a/libs/requests/src/laburnumbridge/requests/request_coordinator.py
+++ b/libs/requests/src/laburnumbridge/requests/request_coordinator.py
@@ -322,12 +322,17 @@
             request = self._request_by_id.get(heapq.heappop(self._deadlines)[1])
             if request is not None:
                 actions += self._expire(request, now)
-        for request_id, kept_until in list(self._kept_until_by_id.items()):
-            if kept_until > now:
-                break
-            del self._kept_until_by_id[request_id]
+        self._forget_finished(now)
         return actions
 
+    def _forget_finished(self, now: float) -> None:
+        # Entries are in order of their time, so the first one that is kept ends the search.
+        while self._kept_until_by_id:
+            request_id = next(iter(self._kept_until_by_id))
+            if self._kept_until_by_id[request_id] > now:
+                return
+            del self._kept_until_by_id[request_id]
+
     def _expire(self, request: TrackedRequest, now: float) -> Actions:
         request_id = request.arrival.request_id
         if request.phase is Phase.QUEUED:
