--- /dev/null
+++ b/libs/limits/src/laburnumbridge/limits/plan_lease.py
@@ -0,0 +1,325 @@
+"""The lease of one plan at an admitting agent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import Refusal
+from laburnumbridge.core import RefusalReason
+from laburnumbridge.limits.actions import Admit
+from laburnumbridge.limits.actions import Pend
+from laburnumbridge.limits.actions import Refuse
+from laburnumbridge.limits.actions import SendReport
+from laburnumbridge.limits.credit_line import CreditLine
+from laburnumbridge.limits.errors import WorkNotOpenError
+from laburnumbridge.limits.limit_kind import LimitKind
+from laburnumbridge.limits.limit_kind import Work
+from laburnumbridge.limits.messages import Report
+from laburnumbridge.limits.messages import ReportLine
+from laburnumbridge.limits.pending_queue import PendingAdmission
+from laburnumbridge.limits.pending_queue import PendingQueue
+from laburnumbridge.limits.report_log import ReportLog
+from laburnumbridge.limits.timing import ASK_INTERVAL_S
+from laburnumbridge.limits.timing import MAX_WAIT_S
+from laburnumbridge.limits.timing import RENEW_S
+from laburnumbridge.limits.timing import REST_S
+from laburnumbridge.limits.timing import RETURN_DELAY_S
+from laburnumbridge.limits.timing import TERM_S
+from laburnumbridge.limits.timing import TIGHT_S
+
+if TYPE_CHECKING:
+    from laburnumbridge.core import Incarnation
+    from laburnumbridge.core import PlanName
+    from laburnumbridge.core import ProcessId
+    from laburnumbridge.core import RequestId
+    from laburnumbridge.limits.actions import ClientAction
+    from laburnumbridge.limits.messages import Grant
+    from laburnumbridge.limits.plan_limits import PlanLimits
+
+# Asks of a tight plan are spaced further apart, because each waits for returns at the holder.
+TIGHT_ASK_INTERVAL_S = 0.012
+# Pending admissions are asked for again, in case the answer to an earlier report was lost.
+REASK_S = 0.02
+# Reports that only renew the reserve are spaced by this.
+AHEAD_INTERVAL_S = 0.05
+# What a guest is told to wait: a rate has room again after its window.
+RETRY_AFTER_S = 1.0
+
+
+class PlanLease:
+    """Decides on the work of one plan and keeps its credit in step with the holder."""
+
+    def __init__(self, *, plan: PlanName, agent: ProcessId, incarnation: Incarnation) -> None:
+        self._plan = plan
+        self._agent = agent
+        self._incarnation = incarnation
+        self._known = False
+        self._list_version = 0
+        self._line_by_kind = {kind: CreditLine(kind=kind) for kind in LimitKind}
+        self._queue_by_work = {
+            work: PendingQueue(work=work, line_by_kind=self._line_by_kind) for work in Work
+        }
+        self._holder: ProcessId | None = None
+        self._fallback_at = float("inf")
+        self._listed_agents = 0
+        self._order = (0, 0)
+        self._expires_at = float("-inf")
+        self._surplus_since: float | None = None
+        self._log = ReportLog()
+        self._demand_at = float("-inf")
+        self._report_now = False
+        self._finished = False
+
+    @property
+    def finished(self) -> bool:
+        """True when the plan holds and uses nothing here and the holder was told."""
+        return self._finished
+
+    def set_limits(self, limits: PlanLimits | None, list_version: int) -> None:
+        """Put a version of the plan in force; None when the plan is no longer listed."""
+        self._known = limits is not None
+        self._list_version = list_version
+        for kind, line in self._line_by_kind.items():
+            line.set_limit(None if limits is None else limits.limit(kind))
+
+    def set_holder(self, holder: ProcessId | None, listed_agents: int, now: float) -> None:
+        """Name the holder, or None while no holder can be reached."""
+        self._listed_agents = listed_agents
+        if holder == self._holder:
+            if holder is None and self._fallback_at == float("inf"):
+                self._fallback_at = now + TERM_S
+            return
+        self._holder = holder
+        self._fallback_at = float("inf") if holder is not None else now + TERM_S
+        self._order = (0, 0)
+        self._log.forget()
+        self._report_now = True
+
+    def distrust(self) -> None:
+        """Drop the lease and ignore grants on the way, after a pause of the process."""
+        self.expire()
+        self._log.forget()
+        self._report_now = True
+
+    def expire(self) -> None:
+        """Drop the lease; work that is open keeps counting."""
+        self._expires_at = float("-inf")
+        for line in self._line_by_kind.values():
+            line.share = 0
+
+    def request(self, request_id: RequestId, work: Work, now: float) -> list[ClientAction]:
+        """Decide on one admission, or make it wait for credit."""
+        self._demand_at = now
+        self._finished = False
+        queue = self._queue_by_work[work]
+        if not self._known:
+            refusal = Refusal(reason=RefusalReason.SERVICE_NOT_IN_PLAN, plan=self._plan)
+            return [Refuse(request_id, refusal)]
+        short = self._short_kind(work, now)
+        if short is None and not queue:
+            self._take(work, now)
+            return [Admit(request_id)]
+        if self._holder is None and short is not None:
+            return [Refuse(request_id, self._refusal(short, now))]
+        pending = PendingAdmission(request_id, now + MAX_WAIT_S)
+        queue.push(pending)
+        return [Pend(request_id, pending.until)]
+
+    def cancel(self, request_id: RequestId) -> None:
+        """Remove a pending admission."""
+        for queue in self._queue_by_work.values():
+            queue.remove(request_id)
+
+    def end(self, work: Work) -> None:
+        """Free the levels that admitted work used.
+
+        Raises WorkNotOpenError when none is open.
+        """
+        levels = [self._line_by_kind[kind] for kind in work.kinds if kind.is_level]
+        if any(line.level == 0 for line in levels):
+            raise WorkNotOpenError(plan=self._plan, work=work.name.lower())
+        for line in levels:
+            line.give_back()
+
+    def apply(self, grant: Grant, now: float) -> list[ClientAction]:
+        """Apply a grant unless it is late, doubled, out of order or from another holder."""
+        order = (grant.incarnation, grant.sequence)
+        sent_at = self._log.sent_at(grant.answers)
+        if grant.holder != self._holder or order <= self._order or sent_at is None:
+            return []
+        if sent_at + TERM_S <= now:
+            return []
+        first = self._order[0] != grant.incarnation
+        self._order = order
+        self._expires_at = sent_at + TERM_S if first else max(self._expires_at, sent_at + TERM_S)
+        self._log.answered(grant.answers)
+        for kind, granted in grant.lines_by_kind.items():
+            line = self._line_by_kind[kind]
+            line.accept_share(granted.share, granted_limit=granted.limit)
+            line.counted = max(granted.out, line.used(now))
+            line.fleet_out = granted.fleet_out
+            if granted.tight:
+                line.tight_until = now + TIGHT_S
+        exhausted = {kind for kind, granted in grant.lines_by_kind.items() if granted.exhausted}
+        return self._drain(now) + self._refuse_exhausted(exhausted, grant.answers, now)
+
+    def ask_report(self) -> None:
+        """Report at once, because the holder asked."""
+        self._report_now = True
+
+    def settle(self, now: float, next_sequence: int) -> list[ClientAction]:
+        """Admit and refuse what waits, and send a report if one is due."""
+        if now >= self._expires_at:
+            self.expire()
+        actions = self._drain(now) + self._refuse_timed_out(now)
+        if not self._limited() and not self._report_now:
+            self._finished = not self._demanded(now) and not any(self._open_levels())
+        elif self._holder is not None and now >= self._report_at(now):
+            actions.append(self._report(self._holder, next_sequence, now))
+        return actions
+
+    def next_due(self, now: float) -> float:
+        """Return when ``settle`` is due next (monotonic seconds)."""
+        due = [queue.first.until for queue in self._queue_by_work.values() if queue]
+        if self._holder is not None and (self._limited() or self._report_now):
+            due.append(self._report_at(now))
+        releases = (line.next_release() for line in self._limited() if line.tight(now))
+        due.extend(release for release in releases if release is not None)
+        return min(due, default=now + RENEW_S)
+
+    def _open_levels(self) -> list[int]:
+        return [line.level for line in self._line_by_kind.values()]
+
+    def _limited(self) -> list[CreditLine]:
+        return [line for line in self._line_by_kind.values() if line.limit is not None]
+
+    def _allowance(self, line: CreditLine, now: float) -> int:
+        if now < self._expires_at:
+            return line.share
+        if now >= self._fallback_at and line.limit is not None:
+            return line.limit // max(self._listed_agents, 1)
+        return 0
+
+    def _short_kind(self, work: Work, now: float) -> LimitKind | None:
+        for kind in work.kinds:
+            line = self._line_by_kind[kind]
+            if line.limit is None:
+                continue
+            if line.used(now) >= min(self._allowance(line, now), line.limit):
+                return kind
+        return None
+
+    def _take(self, work: Work, now: float) -> None:
+        for kind in work.kinds:
+            self._line_by_kind[kind].take(now)
+
+    def _drain(self, now: float) -> list[ClientAction]:
+        actions: list[ClientAction] = []
+        for work, queue in self._queue_by_work.items():
+            while queue and self._short_kind(work, now) is None:
+                actions.append(Admit(queue.pop().request_id))
+                self._take(work, now)
+        return actions
+
+    def _refuse_exhausted(
+        self, exhausted: set[LimitKind], answers: int, now: float
+    ) -> list[ClientAction]:
+        actions: list[ClientAction] = []
+        for work, queue in self._queue_by_work.items():
+            short = self._short_kind(work, now)
+            if short is None or short not in exhausted:
+                continue
+            while queue and queue.first.asked_in is not None and queue.first.asked_in <= answers:
+                actions.append(Refuse(queue.pop().request_id, self._refusal(short, now)))
+        return actions
+
+    def _refuse_timed_out(self, now: float) -> list[ClientAction]:
+        actions: list[ClientAction] = []
+        for work, queue in self._queue_by_work.items():
+            while queue and queue.first.until <= now:
+                short = self._short_kind(work, now) or work.kinds[0]
+                actions.append(Refuse(queue.pop().request_id, self._refusal(short, now)))
+        return actions
+
+    def _refusal(self, kind: LimitKind, now: float) -> Refusal:
+        line = self._line_by_kind[kind]
+        return Refusal(
+            reason=kind.refusal_reason,
+            plan=self._plan,
+            limit=line.limit,
+            used=max(line.fleet_out, line.used(now)),
+            list_version=self._list_version,
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    def _report_at(self, now: float) -> float:
+        if self._report_now:
+            return now
+        sent_at = self._log.last_sent_at
+        limited = self._limited()
+        tight = any(line.tight(now) for line in limited)
+        due = [sent_at + (REST_S if self._resting(now) else RENEW_S)]
+        if any(self._queue_by_work.values()):
+            due.append(sent_at + REASK_S)
+        if any(queue.has_unasked for queue in self._queue_by_work.values()):
+            due.append(sent_at + (TIGHT_ASK_INTERVAL_S if tight else ASK_INTERVAL_S))
+        elif any(self._runs_low(line, now) for line in limited if not line.tight(now)):
+            due.append(sent_at + AHEAD_INTERVAL_S)
+        retry_at = self._log.retry_at()
+        if retry_at is not None:
+            due.append(retry_at)
+        self._note_surplus(now)
+        if self._surplus_since is not None:
+            due.append(max(self._surplus_since, sent_at) + RETURN_DELAY_S)
+        return min(due)
+
+    def _runs_low(self, line: CreditLine, now: float) -> bool:
+        wanted = line.wanted(now, ahead=True)
+        return wanted > line.share and 2 * (line.share - line.used(now)) < wanted - line.used(now)
+
+    def _note_surplus(self, now: float) -> None:
+        tight = [line for line in self._limited() if line.tight(now)]
+        if all(line.counted <= line.needed(now) for line in tight):
+            self._surplus_since = None
+        elif self._surplus_since is None:
+            self._surplus_since = now
+
+    def _demanded(self, now: float) -> bool:
+        return now - self._demand_at <= TERM_S
+
+    def _resting(self, now: float) -> bool:
+        unchanged = all(line.counted <= line.needed(now) for line in self._limited())
+        return unchanged and not self._demanded(now) and any(self._open_levels())
+
+    def _report(self, holder: ProcessId, sequence: int, now: float) -> SendReport:
+        demanded = self._demanded(now)
+        lines = {line.kind: self._report_line(line, now) for line in self._limited()}
+        if not demanded and all(line.wanted == 0 for line in lines.values()):
+            lines = {}
+            self._finished = not any(self._open_levels())
+        for queue in self._queue_by_work.values():
+            queue.mark_asked(sequence)
+        self._log.sent(sequence, now)
+        self._report_now = False
+        self._surplus_since = None
+        incarnation, applied = self._order
+        report = Report(
+            plan=self._plan,
+            agent=self._agent,
+            incarnation=self._incarnation,
+            sequence=sequence,
+            applied_incarnation=incarnation,
+            applied_sequence=applied,
+            lines_by_kind=lines,
+        )
+        return SendReport(holder, report)
+
+    def _report_line(self, line: CreditLine, now: float) -> ReportLine:
+        wanted = line.wanted(now, ahead=self._demanded(now) and not line.tight(now))
+        # Credit above what is wanted is returned by this report.
+        line.share = min(line.share, wanted)
+        line.peak = line.used(now)
+        line.counted = max(line.share, line.used(now))
+        return ReportLine(
+            held=line.share, used=line.used(now), needed=line.needed(now), wanted=wanted
+        )
--- /dev/null
+++ b/libs/limits/src/laburnumbridge/limits/timing.py
@@ -0,0 +1,30 @@
+"""Times that a lease client and a lease holder must agree on, in seconds."""
+
+from __future__ import annotations
+
+# The longest time that credit stays out at an agent the holder no longer hears of.
+TERM_S = 3.0
+# Two renewals may be lost before a lease ends.
+RENEW_S = 1.0
+# An agent that only keeps connections open and sees no demand reports its use this often.
+REST_S = 10.0
+# The driver's longest interval between ticks while a machine holds state.
+TICK_S = 0.25
+# A gap between two events above this counts as a pause of the process; four ticks are missed.
+CLOCK_JUMP_S = 1.0
+# The longest time that an admission waits for credit.
+MAX_WAIT_S = 0.05
+# Admissions that run short within this time share one report.
+ASK_INTERVAL_S = 0.005
+# Covers a round trip of 3 ms between failure domains with queueing.
+RETRY_S = 0.012
+# Unused credit is kept this long while the plan is tight, so that the next arrival can use it.
+RETURN_DELAY_S = 0.004
+# Time for a recall: a round trip, the return delay and one retry of a lost return.
+DENY_AFTER_S = 0.028
+# How long a recall asks agents to return unused credit without another recall.
+TIGHT_S = 1.5
+# The period over which a rate is limited.
+RATE_WINDOW_S = 1.0
+# Uses of one slice are released together; half a slice is 0.25 % of the window.
+RATE_SLICE_S = 0.005
