--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,7 @@
 
 clean:
 	rm -rf build dist $(VENV)
+
+proto: setup
+	$(BIN)/python -m grpc_tools.protoc -I libs/wire/src --python_out=libs/wire/src \
+		--pyi_out=libs/wire/src --grpc_python_out=libs/wire/src $(PROTO)
