Let siblings tell the present share of a cold upstream

The share stayed at its floor of 0.1 for 3 s, while siblings let the reported share grow from the first second, and so sent the new upstream more than it should take.

The share now grows linearly from 0.1, and siblings apply the same slope to the age of the report.

--- a/libs/placement/src/laburnumbridge/placement/placement.py
+++ b/libs/placement/src/laburnumbridge/placement/placement.py
@@ -26,6 +26,8 @@
 from laburnumbridge.placement.rebalancer import Rebalancer
 from laburnumbridge.placement.sibling import ReportBase
 from laburnumbridge.placement.sibling import Sibling
+from laburnumbridge.placement.slow_start import FIRST_SHARE
+from laburnumbridge.placement.slow_start import grown_share
 
 if TYPE_CHECKING:
     from laburnumbridge.core import AgentNumber
@@ -37,8 +39,6 @@
 # Reports are up to 5 s old and a guest takes up to 2 s to move, so flows for a growing upstream are
 # asked that much ahead; placement still holds it to its present share.
 REBALANCE_LEAD_S = 7.0
-# A new upstream takes a first few flows at once, so that its warm-up has something to run.
-MIN_SLOW_START_SHARE = 0.1
 
 
 class Placement:
@@ -269,6 +269,7 @@
 
     def _slow_start_share(self, now: float) -> float:
         elapsed_s = now - self._cold_since
-        if elapsed_s >= self._settings.slow_start_s:
+        slow_start_s = self._settings.slow_start_s
+        if elapsed_s >= slow_start_s:
             return 1.0
-        return max(MIN_SLOW_START_SHARE, elapsed_s / self._settings.slow_start_s)
+        return grown_share(FIRST_SHARE, elapsed_s=elapsed_s, slow_start_s=slow_start_s)
--- a/libs/placement/src/laburnumbridge/placement/sibling.py
+++ b/libs/placement/src/laburnumbridge/placement/sibling.py
@@ -8,6 +8,7 @@
 
 from laburnumbridge.placement.count_history import CountHistory
 from laburnumbridge.placement.events import SiblingState
+from laburnumbridge.placement.slow_start import grown_share
 
 if TYPE_CHECKING:
     from laburnumbridge.placement.events import LoadReport
@@ -41,5 +42,6 @@
             return report.connections
         # The share has gone on growing since the report; without this an old report holds back
         # a third of what a new upstream may take.
-        grown = report.slow_start_share + (now - self.base.as_of) / slow_start_s
-        return report.connections * min(1.0, grown)
+        return report.connections * grown_share(
+            report.slow_start_share, elapsed_s=now - self.base.as_of, slow_start_s=slow_start_s
+        )
--- a/libs/placement/tests/test_placement.py
+++ b/libs/placement/tests/test_placement.py
@@ -140,6 +140,18 @@
         assert agent.place(b"k") == KeepHandshake(b"k")
         assert agent.place(b"later", 9) == ForwardHandshake(b"later", AgentNumber(2))
 
+    def test_old_report_of_a_cold_sibling_gives_its_present_share(self) -> None:
+        # Guards against flooding a new upstream because its share is taken for larger than it is.
+        cold = Agent()
+        cold.placement.handle(UpstreamStartedCold(), 0)
+        early = cold.placement.load_report(1)
+        event = SiblingReported(agent_number=AgentNumber(2), report=early, age_s=4)
+        agent = Agent()
+        agent.change(2, SiblingState.LIVE)
+        agent.placement.handle(event, 5)
+        expected = 2000 * cold.placement.load_report(5).slow_start_share
+        assert agent.placement._weight_of(AgentNumber(2), 5) == pytest.approx(expected)
+
     def test_leaving_agent_forwards_whatever_the_loads(self) -> None:
         agent = Agent(flows=0)
         agent.add(2, 1000)
