Ask before a first send runs in an unsettled agent set, and document the outcomes

Two agents that received the same first send while they disagreed about the key's owner both ran it. An owner whose agent set changed within 30 s, or that misses a listed agent, now asks its siblings first; silent ones don't hold it up. An agent that gave up a proof lets the next asker have the key. A full request table no longer reports a repeat as not run.

--- a/libs/requests/src/laburnumbridge/requests/key_ledger.py
+++ b/libs/requests/src/laburnumbridge/requests/key_ledger.py
@@ -37,7 +37,7 @@
 TRAVEL_S = 15.0  # longest time between a guest's send and its arrival; idle links close earlier
 PROOF_MARGIN_S = VIEW_LAG_S + TRAVEL_S
 KEPT_S = RETENTION_S + PROOF_MARGIN_S  # a repeat sent at the last moment still finds its record
-INQUIRY_TIMEOUT_S = 1.0  # a sibling answers within milliseconds or is in trouble
+INQUIRY_TIMEOUT_S = 0.5  # a sibling answers within milliseconds or is in trouble
 MAX_KEYS = 20_000  # about 12 MB of records
 MAX_STORED_BYTES = 4 * 1024 * 1024  # an agent has 32 MB for all of its control state
 
@@ -48,9 +48,11 @@
 class KeyLedger:
     """Runs a keyed request at most once, whatever the agents' views of each other.
 
-    A first send runs at the key's owner. A repeat of a key that the owner doesn't know runs only
-    after every agent that the platform lists has said that it didn't run the key and won't, and
-    only if no agent has joined, left, restarted or forgotten keys since before the first send.
+    A first send runs at the key's owner, which asks its siblings first while the agent set isn't
+    settled, and doesn't wait for those that are silent. A repeat of a key that the owner doesn't
+    know runs only after every agent that the platform lists has said that it didn't run the key
+    and won't, and only if no agent has joined, left, restarted or forgotten keys since before the
+    first send.
     """
 
     def __init__(
@@ -141,7 +143,7 @@
         if record is not None:
             return self._prove(claim, record, now)
         record = self._add(claim.key, KeyRecord(KeyState.UNPROVEN, now), now)
-        if claim.age_s == 0:
+        if claim.age_s == 0 and self._covered_s(now) >= PROOF_MARGIN_S and self._sees_all_listed():
             return self._run(claim, record, now)
         return self._prove(claim, record, now)
 
@@ -218,7 +220,7 @@
         if not record.waiters:
             record.state = KeyState.UNPROVEN
             return []
-        if self._is_proved(record, now):
+        if self._is_first_send(record) or self._is_proved(record, now):
             record.state = KeyState.RUNNING
             record.touched_at = now
             return [RunClaim(record.waiters.pop(0))]
@@ -232,16 +234,26 @@
         replies = record.replies
         if record.asked != self.agents - {self.own} or replies.keys() != record.asked:
             return False
-        # In a partition the other side's agents are still listed, and may have run the key.
-        if not self._listed <= {agent.process_id for agent in self.agents}:
+        if not (self._sees_all_listed() and self._is_covered(record, now)):
             return False
-        return self._is_covered(record, now) and all(
+        return all(
             reply.standing is KeyStanding.ABSENT
             and reply.covered_s >= needed_s
             and reply.agents_digest == digest
             for reply in replies.values()
         )
 
+    def _sees_all_listed(self) -> bool:
+        # In a partition the other side's agents are still listed, and may have run a key.
+        return self._listed <= {agent.process_id for agent in self.agents}
+
+    @staticmethod
+    def _is_first_send(record: KeyRecord) -> bool:
+        # Nobody can have run it before, unless two agents received it and see different owners.
+        if record.age_s != 0 or record.targets:
+            return False
+        return all(reply.standing is KeyStanding.ABSENT for reply in record.replies.values())
+
     def _is_covered(self, record: KeyRecord, now: float) -> bool:
         too_old = record.age_s is not None and record.age_s >= RETENTION_S
         return not too_old and self._covered_s(now) >= self._needed_coverage_s(record, now)
@@ -271,9 +283,7 @@
             record = self._add(inquired.key, KeyRecord(KeyState.UNRUN, now), now)
         if record.state in _HELD:
             return KeyStanding.HELD
-        if record.state in (KeyState.PROVING, KeyState.UNPROVEN):
-            return KeyStanding.SEEN
-        if record.state is not KeyState.UNRUN and record.targets != {inquired.asker}:
+        if record.state is KeyState.PROVING or not record.targets <= {inquired.asker}:
             return KeyStanding.SEEN
         record.state = KeyState.FENCED
         record.targets = {inquired.asker}
--- a/libs/requests/src/laburnumbridge/requests/request_coordinator.py
+++ b/libs/requests/src/laburnumbridge/requests/request_coordinator.py
@@ -103,12 +103,14 @@
         if forwarded and event.addressee != self.own:
             # An earlier incarnation may have received another copy and run it.
             return [act.AnswerOutcomeUnknown(request_id)]
-        if len(self._request_by_id) + len(self._finished) >= self._max_requests:
-            # A forwarded request may come twice, and its second copy could run later.
-            unknown = act.AnswerOutcomeUnknown(request_id)
-            return [unknown if forwarded else act.AnswerRefused(request_id, _QUEUE_FULL)]
         left_s = DEFAULT_DEADLINE_S if event.deadline_s is None else event.deadline_s
         request = TrackedRequest(event, now + min(left_s, MAX_DEADLINE_S))
+        if len(self._request_by_id) + len(self._finished) >= self._max_requests:
+            # A second copy of a forwarded request could run later, and earlier sends of a key may
+            # have run.
+            if forwarded or not request.is_first_send:
+                return [act.AnswerOutcomeUnknown(request_id)]
+            return [act.AnswerRefused(request_id, _QUEUE_FULL)]
         self._request_by_id[request_id] = request
         if not forwarded:
             self._budget.count_request(now)
--- a/libs/requests/tests/test_request_coordinator.py
+++ b/libs/requests/tests/test_request_coordinator.py
@@ -228,6 +228,19 @@
         assert play(make_coordinator(), repeat) == [rq.AnswerOutcomeUnknown(ID)]
 
 
+class TestFullTable:
+    def test_only_what_cannot_have_run_is_refused(self) -> None:
+        # Guards against "not run" for a repeat, or for a forward whose second copy may run later.
+        coordinator = rq.RequestCoordinator(own=OWN, now=0.0, max_requests=0)
+        refused = [rq.AnswerRefused(ID, QUEUE_FULL)]
+        assert play(coordinator, arrival()) == refused
+        assert play(coordinator, arrival(key="k", first_attempt_age_s=0.0)) == refused
+        unknown = [rq.AnswerOutcomeUnknown(ID)]
+        assert play(coordinator, arrival(key="k", first_attempt_age_s=2.0)) == unknown
+        forward = arrival(role=rq.ArrivalRole.RETRY, addressee=OWN)
+        assert play(coordinator, forward) == unknown
+
+
 class TestRetryBudget:
     def test_a_quiet_time_saves_one_retry(self) -> None:
         budget = rq.RetryBudget(now=0.0)
