--- a/libs/limits/src/laburnumbridge/limits/contact_view.py
+++ b/libs/limits/src/laburnumbridge/limits/contact_view.py
@@ -24,12 +24,16 @@
         self._lost_until: dict[ProcessId, float] = {}
         self._unheard_until: dict[ProcessId, float] = {}
         self._recovers_until = float("-inf")
+        self._all_reachable = False
+        # The listed agents that count, kept because every report needs the budget.
+        self._counted = 0
 
     def start_recovery(self, now: float) -> None:
         """Count every agent as unheard: leases of an earlier holder may be out."""
         self._recovers_until = now + TERM_S
         self._lost_until.clear()
         self._unheard_until = dict.fromkeys(self._reachable, now + TERM_S)
+        self._count()
 
     def replace(
         self, listed: frozenset[ProcessId], reachable: frozenset[ProcessId], now: float
@@ -43,10 +47,17 @@
                 self._unheard_until[agent] = now + TERM_S
         self._listed = listed
         self._reachable = reachable
+        self._all_reachable = listed <= reachable
+        self._count()
+        self._end_recovery_if_complete()
 
     def heard(self, agent: ProcessId) -> bool:
         """Note that an agent has reported what it holds; return True if it was unheard."""
-        return self._unheard_until.pop(agent, None) is not None
+        if self._unheard_until.pop(agent, None) is None:
+            return False
+        self._counted += agent in self._listed
+        self._end_recovery_if_complete()
+        return True
 
     def lost_lately(self, agent: ProcessId) -> bool:
         """True while an agent that was lost still counts."""
@@ -66,18 +77,27 @@
 
     def advance(self, now: float) -> None:
         """Let terms end that have passed."""
+        if not self._lost_until and not self._unheard_until:
+            return
         self._lost_until = {a: t for a, t in self._lost_until.items() if t > now}
         self._unheard_until = {a: t for a, t in self._unheard_until.items() if t > now}
+        self._count()
 
     def recovering(self, now: float) -> bool:
         """True while leases may be out that this holder cannot account for."""
-        if now >= self._recovers_until:
-            return False
-        return bool(self._unheard_until) or not self._listed <= self._reachable
+        return now < self._recovers_until
 
     def budget(self, limit: int) -> int:
         """Return the part of ``limit`` that this holder may have out."""
         if not self._listed:
             return 0
+        return limit * self._counted // len(self._listed)
+
+    def _end_recovery_if_complete(self) -> None:
+        # Once every lease is accounted for, a later loss of contact doesn't start a recovery.
+        if self._listed and self._all_reachable and not self._unheard_until:
+            self._recovers_until = float("-inf")
+
+    def _count(self) -> None:
         counted = self._reachable.union(self._lost_until).difference(self._unheard_until)
-        return limit * len(counted & self._listed) // len(self._listed)
+        self._counted = len(counted & self._listed)
--- a/libs/limits/src/laburnumbridge/limits/plan_lease.py
+++ b/libs/limits/src/laburnumbridge/limits/plan_lease.py
@@ -96,13 +96,13 @@
         self._fallback_at = float("inf") if holder is not None else now + TERM_S
         self._order = (0, 0)
         self._log.forget()
-        self._report_now = True
+        self._report_now = any(line.share or line.needed(now) for line in self._limited)
 
     def distrust(self) -> None:
         """Drop the lease and ignore grants on the way, after a pause of the process."""
         self.expire()
         self._log.forget()
-        self._report_now = True
+        self._report_now = bool(self._limited)
 
     def expire(self) -> None:
         """Drop the lease; work that is open keeps counting."""
