--- a/libs/configuration/src/laburnumbridge/configuration/value_digest.py
+++ b/libs/configuration/src/laburnumbridge/configuration/value_digest.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from laburnumbridge.core import ProcessId
+from laburnumbridge.core import ProcessId
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/limits/src/laburnumbridge/limits/messages.py
+++ b/libs/limits/src/laburnumbridge/limits/messages.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-    from laburnumbridge.core import Incarnation
-    from laburnumbridge.core import PlanName
-    from laburnumbridge.core import ProcessId
-    from laburnumbridge.limits.limit_kind import LimitKind
+from laburnumbridge.core import Incarnation
+from laburnumbridge.core import PlanName
+from laburnumbridge.core import ProcessId
+from laburnumbridge.limits.limit_kind import LimitKind
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/lists/src/laburnumbridge/lists/plan_list.py
+++ b/libs/lists/src/laburnumbridge/lists/plan_list.py
@@ -20,8 +20,8 @@
     name: Name
     services: tuple[Name, ...] = Field(min_length=1)
     open_connections: int | None = Field(default=None, ge=0)
-    new_connections_per_s: float | None = Field(default=None, ge=0)
-    requests_per_s: float | None = Field(default=None, ge=0)
+    new_connections_per_s: int | None = Field(default=None, ge=0)
+    requests_per_s: int | None = Field(default=None, ge=0)
     concurrent_requests: int | None = Field(default=None, ge=0)
     guaranteed_share: float = Field(default=0.0, ge=0, le=1)
     ceiling: float = Field(default=1.0, gt=0, le=1)
--- a/libs/membership/src/laburnumbridge/membership/life.py
+++ b/libs/membership/src/laburnumbridge/membership/life.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-if TYPE_CHECKING:
-    from laburnumbridge.core import Incarnation
+from laburnumbridge.core import Incarnation
 
 
 class Life(NamedTuple):
--- a/libs/membership/src/laburnumbridge/membership/liveness_record.py
+++ b/libs/membership/src/laburnumbridge/membership/liveness_record.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
+from laburnumbridge.core import ProcessId
 from laburnumbridge.core import hash64
-
-if TYPE_CHECKING:
-    from laburnumbridge.core import ProcessId
-    from laburnumbridge.membership.claim import Claim
-    from laburnumbridge.membership.life import Life
+from laburnumbridge.membership.claim import Claim
+from laburnumbridge.membership.life import Life
 
 # msgpack: array header, claim, 32-bit incarnation, refutation, two string headers.
 RECORD_FIXED_BYTES = 10
--- a/libs/membership/src/laburnumbridge/membership/messages.py
+++ b/libs/membership/src/laburnumbridge/membership/messages.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from laburnumbridge.core import ProcessId
-
-if TYPE_CHECKING:
-    from laburnumbridge.membership.life import Life
-    from laburnumbridge.membership.liveness_record import LivenessRecord
+from laburnumbridge.membership.life import Life
+from laburnumbridge.membership.liveness_record import LivenessRecord
 
 # UDP/IP header, sender, counter and authentication tag of a sealed datagram.
 DATAGRAM_OVERHEAD_BYTES = 60
--- a/libs/placement/src/laburnumbridge/placement/events.py
+++ b/libs/placement/src/laburnumbridge/placement/events.py
@@ -4,10 +4,8 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from laburnumbridge.core import AgentNumber
+from laburnumbridge.core import AgentNumber
 
 
 class SiblingState(StrEnum):
--- a/libs/requests/src/laburnumbridge/requests/__init__.py
+++ b/libs/requests/src/laburnumbridge/requests/__init__.py
@@ -52,11 +52,13 @@
 from laburnumbridge.requests.key_messages import Tick
 from laburnumbridge.requests.key_messages import Verdict
 from laburnumbridge.requests.methods import is_idempotent
+from laburnumbridge.requests.request_coordinator import SHED_STATUS
 from laburnumbridge.requests.request_coordinator import RequestCoordinator
 from laburnumbridge.requests.retry_budget import RetryBudget
 from laburnumbridge.requests.stored_answer import StoredAnswer
 
 __all__ = [
+    "SHED_STATUS",
     "AdmissionRefused",
     "AdmissionStarted",
     "AgentId",
--- a/libs/requests/src/laburnumbridge/requests/agent_id.py
+++ b/libs/requests/src/laburnumbridge/requests/agent_id.py
@@ -2,17 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
+from laburnumbridge.core import Incarnation
+from laburnumbridge.core import ProcessId
 from laburnumbridge.core import hash64
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from laburnumbridge.core import Incarnation
-    from laburnumbridge.core import ProcessId
-
 
 @dataclass(frozen=True, order=True, slots=True)
 class AgentId:
--- a/libs/requests/src/laburnumbridge/requests/key_messages.py
+++ b/libs/requests/src/laburnumbridge/requests/key_messages.py
@@ -4,14 +4,12 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from laburnumbridge.core import ProcessId
-    from laburnumbridge.core import Refusal
-    from laburnumbridge.core import RequestId
-    from laburnumbridge.requests.agent_id import AgentId
-    from laburnumbridge.requests.stored_answer import StoredAnswer
+
+from laburnumbridge.core import ProcessId
+from laburnumbridge.core import Refusal
+from laburnumbridge.core import RequestId
+from laburnumbridge.requests.agent_id import AgentId
+from laburnumbridge.requests.stored_answer import StoredAnswer
 
 
 class ArrivalRole(StrEnum):
--- a/libs/requests/src/laburnumbridge/requests/request_coordinator.py
+++ b/libs/requests/src/laburnumbridge/requests/request_coordinator.py
@@ -32,6 +32,15 @@
 GATEWAY_TIMEOUT_STATUS = 504
 KEY_CONFLICT_STATUS = 422  # draft-ietf-httpapi-idempotency-key-header, section 2.7
 
+# Refusals that say nothing about the other upstreams of the service.
+_OWN_UPSTREAM_REASONS = frozenset(
+    {
+        RefusalReason.COLD_START,
+        RefusalReason.NO_UPSTREAM,
+        RefusalReason.QUEUE_FULL,
+        RefusalReason.UPSTREAM_SHEDDING,
+    }
+)
 _NO_UPSTREAM = Refusal(reason=RefusalReason.NO_UPSTREAM)
 _QUEUE_FULL = Refusal(reason=RefusalReason.QUEUE_FULL)
 
@@ -171,13 +180,22 @@
         if request.phase is not Phase.QUEUED:
             return self._ignore(event)
         if isinstance(event, ev.AdmissionRefused):
-            return self._refuse(request, event.refusal, now)
+            return self._place_elsewhere(request, event.refusal, now)
         if now >= request.deadline_at:
             return self._refuse(request, self._expired(request), now)
         request.phase = Phase.UPSTREAM
         request.tries += 1
         return [act.SendUpstream(event.request_id, request.remaining_ms(now))]
 
+    def _place_elsewhere(self, request: TrackedRequest, refusal: Refusal, now: float) -> Actions:
+        """Try a sibling before a guest is refused for the state of this one upstream."""
+        if refusal.reason is RefusalReason.DRAINING:
+            moved = self._retry(request, now, is_budgeted=False)
+            return moved or self._refuse(request, refusal, now)
+        if refusal.reason in _OWN_UPSTREAM_REASONS:
+            return self._retry_unrun(request, refusal, now)
+        return self._refuse(request, refusal, now)
+
     def _hear_upstream(
         self, event: ev.RequestEvent, request: TrackedRequest, now: float
     ) -> Actions:
@@ -268,11 +286,14 @@
     def _retry_unrun(self, request: TrackedRequest, refusal: Refusal, now: float) -> Actions:
         return self._retry(request, now) or self._refuse(request, refusal, now)
 
-    def _retry(self, request: TrackedRequest, now: float) -> Actions:
+    def _retry(self, request: TrackedRequest, now: float, *, is_budgeted: bool = True) -> Actions:
+        """Forward to the next sibling; a planned move is not a retry and uses no budget."""
         if request.arrival.role is ArrivalRole.RETRY or request.tries >= MAX_TRIES:
             return []
         sibling = self._next_sibling(request)
-        if sibling is None or now >= request.deadline_at or not self._budget.try_take(now):
+        if sibling is None or now >= request.deadline_at:
+            return []
+        if is_budgeted and not self._budget.try_take(now):
             return []
         request.tries += 1
         released = self._release(request)
--- a/libs/runtime/src/laburnumbridge/runtime/agent_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/agent_process.py
@@ -3,32 +3,41 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
 from aioquic.h3.connection import H3_ALPN
 from aioquic.quic.configuration import QuicConfiguration
 
+from laburnumbridge import admission as adm
+from laburnumbridge import placement as plc
+from laburnumbridge import requests as req
 from laburnumbridge.core import AgentNumber
-from laburnumbridge.core import Incarnation
+from laburnumbridge.core import PlanName
+from laburnumbridge.core import hash64
 from laburnumbridge.routing import CONNECTION_ID_BYTES
-from laburnumbridge.runtime.configuration_follower import ConfigurationFollower
+from laburnumbridge.runtime.agent_fleet import AgentFleet
 from laburnumbridge.runtime.connection_id_issuer import ConnectionIdIssuer
 from laburnumbridge.runtime.errors import UnknownServiceError
-from laburnumbridge.runtime.fleet_view import FleetView
 from laburnumbridge.runtime.flow_endpoint import FlowEndpoint
-from laburnumbridge.runtime.forwarding_handler import ForwardingHandler
-from laburnumbridge.runtime.platform_client import PlatformClient
+from laburnumbridge.runtime.flow_mover import FlowMover
+from laburnumbridge.runtime.forwarded_requests import ForwardedRequests
+from laburnumbridge.runtime.grpc_sibling_calls import GrpcSiblingCalls
+from laburnumbridge.runtime.lease_driver import LeaseDriver
+from laburnumbridge.runtime.pipeline_handler import PipelineHandler
+from laburnumbridge.runtime.placement_policy import PlacementPolicy
 from laburnumbridge.runtime.process import Process
-from laburnumbridge.runtime.sibling_policy import SiblingPolicy
+from laburnumbridge.runtime.process_core import ProcessCore
+from laburnumbridge.runtime.request_recorder import RequestRecorder
+from laburnumbridge.runtime.request_runner import RequestRunner
 from laburnumbridge.runtime.upstream_client import HttpUpstreamClient
 from laburnumbridge.telemetry import Event
-from laburnumbridge.telemetry import EventLog
 from laburnumbridge.wire import Encapsulation
 from laburnumbridge.wire import Endpoint
 
 if TYPE_CHECKING:
+    from laburnumbridge.lists import Identity
     from laburnumbridge.lists import Service
+    from laburnumbridge.runtime.guest_request import GuestRequest
     from laburnumbridge.settings import AgentSettings
 
 IDLE_TIMEOUT_S = 9.0
@@ -41,69 +50,134 @@
 
     def __init__(self, *, settings: AgentSettings) -> None:
         self._settings = settings
-        self._log = EventLog(process=settings.name, level=settings.log_level)
-        self._client = PlatformClient(url=settings.platform_url)
-        self._view = FleetView()
-        self._follower = ConfigurationFollower(client=self._client, view=self._view, log=self._log)
+        self._core = ProcessCore(settings=settings)
         self._upstream = HttpUpstreamClient(url=settings.upstream_url)
-        self._policy = SiblingPolicy(view=self._view, name=settings.name, service=settings.service)
+        self._leases = LeaseDriver(
+            own=self._core.process_id, incarnation=self._core.incarnation, link=self._core.link
+        )
+        self._runner: RequestRunner | None = None
+        self._policy: PlacementPolicy | None = None
         self._issuer: ConnectionIdIssuer | None = None
         self._flows: FlowEndpoint | None = None
+        self._mover: FlowMover | None = None
+        self._fleet: AgentFleet | None = None
+        self._recorder: RequestRecorder | None = None
 
     async def start(self) -> None:
         """Wait for the lists, then accept connections."""
-        await self._client.start()
         await self._upstream.start()
-        await self._follower.start()
+        self._runner = self._build_runner()
+        self._policy = self._build_policy()
+        await self._core.start(forwarded=ForwardedRequests(runner=self._runner))
         service = self._service()
-        codec = self._view.token_codec()
+        self._flows = self._build_flows(service, self._runner, self._policy)
+        self._mover = FlowMover(flows=self._flows)
+        self._fleet = AgentFleet(
+            core=self._core,
+            service=service.name,
+            leases=self._leases,
+            runner=self._runner,
+            policy=self._policy,
+            on_leaving=self._start_drain,
+        )
+        self._fleet.start()
+        self._core.view.listen(self._apply_list)
+        self._apply_list("plans")
+        self._leases.start()
+        self._runner.start()
+        self._policy.start()
+        self._mover.start()
+        self._flows.start()
+        self._core.log.write(Event.PROCESS_STARTED, role="agent", service=service.name)
+
+    async def close(self) -> None:
+        """Send new work elsewhere, let running requests finish, then end the flows."""
+        self._core.log.write(Event.PROCESS_STOPPING)
+        self._core.membership.announce_leave()
+        self._start_drain()
+        if self._mover is not None and self._flows is not None:
+            self._mover.move_all()
+            await self._finish_requests(self._flows)
+            self._flows.close()
+            self._mover.close()
+        if self._policy is not None:
+            self._policy.close()
+        if self._runner is not None:
+            await self._runner.close()
+        self._leases.close()
+        await self._core.close()
+        await self._upstream.close()
+
+    def _build_runner(self) -> RequestRunner:
+        core = self._core
+        now = asyncio.get_running_loop().time()
+        own = req.AgentId(core.process_id, core.incarnation)
+        settings = adm.AdmissionSettings(
+            slots=self._settings.slots, connections=self._settings.connections
+        )
+        return RequestRunner(
+            coordinator=req.RequestCoordinator(own=own, now=now),
+            admission=adm.Admission(settings=settings),
+            upstream=self._upstream,
+            siblings=GrpcSiblingCalls(
+                channels=core.channels, find_endpoint=core.view.control_endpoint
+            ),
+            link=core.link,
+        )
+
+    def _build_policy(self) -> PlacementPolicy:
+        core = self._core
+        settings = plc.PlacementSettings(
+            connections=self._settings.connections,
+            slots=self._settings.slots,
+            seed=hash64(core.process_id.encode(), seed=core.incarnation),
+        )
+        return PlacementPolicy(
+            placement=plc.Placement(settings=settings),
+            link=core.link,
+            ask_to_reconnect=self._ask_to_reconnect,
+        )
+
+    def _build_flows(
+        self, service: Service, runner: RequestRunner, policy: PlacementPolicy
+    ) -> FlowEndpoint:
+        core = self._core
+        codec = core.view.token_codec()
         assert codec is not None
         self._issuer = ConnectionIdIssuer(
             codec=codec,
             agent_number=AgentNumber(self._settings.number),
-            incarnation=Incarnation(int(time.time())),
-            service_number=self._view.service_numbers()[service.name],
+            incarnation=core.incarnation,
+            service_number=core.view.service_numbers()[service.name],
+        )
+        self._recorder = RequestRecorder(
+            service=service.name,
+            upstream=core.process_id,
+            objective_ms=service.objectives.latency_ms,
+            metrics=core.metrics,
+            ring=core.ring,
+            log=core.log,
+        )
+        handler = PipelineHandler(
+            service=service.name,
+            stream_prefixes=service.streams,
+            identify=self._identify,
+            is_allowed=self._is_allowed,
+            leases=self._leases,
+            runner=runner,
+            upstream=self._upstream,
+            recorder=self._recorder,
         )
-        self._view.listen(self._apply)
-        self._flows = FlowEndpoint(
+        return FlowEndpoint(
             address=Endpoint.parse(self._settings.address),
             encapsulation=Encapsulation(link_key=bytes.fromhex(self._settings.link_key)),
             issuer=self._issuer,
             quic_configuration=self._quic_configuration(),
-            handler=ForwardingHandler(upstream=self._upstream, stream_prefixes=service.streams),
-            policy=self._policy,
-            list_balancers=self._view.balancer_endpoints,
+            handler=handler,
+            policy=policy,
+            list_balancers=core.view.balancer_endpoints,
+            recorder=self._recorder,
         )
-        self._flows.start()
-        self._log.write(Event.PROCESS_STARTED, role="agent", service=service.name)
-
-    async def close(self) -> None:
-        """Send new connections elsewhere, let running requests finish, then end the flows."""
-        self._log.write(Event.PROCESS_STOPPING)
-        self._policy.draining = True
-        if self._flows is not None:
-            await self._drain(self._flows)
-            self._flows.close()
-        await self._follower.close()
-        await self._client.close()
-        await self._upstream.close()
-        self._log.write(Event.PROCESS_STOPPED)
-
-    async def _drain(self, flows: FlowEndpoint) -> None:
-        for connection in flows.connections:
-            connection.go_away()
-        until = asyncio.get_running_loop().time() + DRAIN_LIMIT_S
-        while asyncio.get_running_loop().time() < until:
-            if not any(connection.open_requests for connection in flows.connections):
-                return
-            await asyncio.sleep(DRAIN_POLL_S)
-
-    def _service(self) -> Service:
-        services = self._view.services
-        service = services.services_by_name.get(self._settings.service) if services else None
-        if service is None:
-            raise UnknownServiceError(service=self._settings.service)
-        return service
 
     def _quic_configuration(self) -> QuicConfiguration:
         configuration = QuicConfiguration(
@@ -116,7 +190,50 @@
         configuration.load_cert_chain(tls.certificate, tls.private_key)
         return configuration
 
-    def _apply(self, name: str) -> None:
-        codec = self._view.token_codec()
+    def _service(self) -> Service:
+        services = self._core.view.services
+        service = services.services_by_name.get(self._settings.service) if services else None
+        if service is None:
+            raise UnknownServiceError(service=self._settings.service)
+        return service
+
+    def _identify(self, request: GuestRequest) -> Identity:
+        directory = self._core.view.directory
+        assert directory is not None
+        return directory.find(authorization=request.header("authorization"), source=request.source)
+
+    def _is_allowed(self, plan: PlanName, service: str) -> bool:
+        plans = self._core.view.plans
+        known = plans.plans_by_name.get(plan) if plans else None
+        return known is not None and service in known.services
+
+    def _apply_list(self, name: str) -> None:
+        view = self._core.view
+        codec = view.token_codec()
         if name == "services" and codec is not None and self._issuer is not None:
             self._issuer.codec = codec
+        if name == "plans" and view.plans is not None and self._runner is not None:
+            version = view.version_by_name["plans"]
+            self._leases.set_plans(version, view.plans)
+            shares = {PlanName(plan.name): plan.guaranteed_share for plan in view.plans.plans}
+            changed = adm.PlanSharesChanged(guaranteed_share_by_plan=shares, list_version=version)
+            self._runner.tell_admission(changed)
+
+    def _ask_to_reconnect(self, count: int) -> None:
+        if self._mover is not None:
+            self._mover.move(count)
+
+    def _start_drain(self) -> None:
+        if self._policy is None or self._runner is None or self._mover is None:
+            return
+        self._core.log.write(Event.UPSTREAM_DRAINING, upstream=self._core.process_id)
+        self._policy.drain()
+        self._runner.tell_admission(adm.DrainStarted())
+        self._mover.start_drain()
+
+    async def _finish_requests(self, flows: FlowEndpoint) -> None:
+        until = asyncio.get_running_loop().time() + DRAIN_LIMIT_S
+        while asyncio.get_running_loop().time() < until:
+            if not any(connection.open_requests for connection in flows.connections):
+                return
+            await asyncio.sleep(DRAIN_POLL_S)
--- a/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
@@ -4,15 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from laburnumbridge.core import ProcessId
 from laburnumbridge.routing import Router
 from laburnumbridge.runtime.balancer_forwarder import BalancerForwarder
-from laburnumbridge.runtime.configuration_follower import ConfigurationFollower
 from laburnumbridge.runtime.errors import UnknownServiceError
-from laburnumbridge.runtime.fleet_view import FleetView
-from laburnumbridge.runtime.platform_client import PlatformClient
 from laburnumbridge.runtime.process import Process
+from laburnumbridge.runtime.process_core import ProcessCore
+from laburnumbridge.runtime.route_table import build_routes
 from laburnumbridge.telemetry import Event
-from laburnumbridge.telemetry import EventLog
 from laburnumbridge.wire import Encapsulation
 from laburnumbridge.wire import Endpoint
 
@@ -26,18 +25,16 @@
 
     def __init__(self, *, settings: BalancerSettings) -> None:
         self._settings = settings
-        self._log = EventLog(process=settings.name, level=settings.log_level)
-        self._client = PlatformClient(url=settings.platform_url)
-        self._view = FleetView()
-        self._follower = ConfigurationFollower(client=self._client, view=self._view, log=self._log)
+        self._core = ProcessCore(settings=settings)
         self._router: Router | None = None
         self._forwarder: BalancerForwarder | None = None
+        self._process_by_endpoint: dict[Endpoint, ProcessId] = {}
 
     async def start(self) -> None:
         """Wait for the lists, then bind the services' addresses."""
-        await self._client.start()
-        await self._follower.start()
-        codec = self._view.token_codec()
+        core = self._core
+        await core.start()
+        codec = core.view.token_codec()
         assert codec is not None
         self._router = Router(codec=codec)
         self._forwarder = BalancerForwarder(
@@ -48,34 +45,51 @@
                 self._service_number(name): Endpoint.parse(address)
                 for name, address in self._settings.listen_by_service.items()
             },
+            on_agent_refused=self._on_agent_refused,
         )
-        self._apply("vms")
-        self._view.listen(self._apply)
+        self._apply_list("vms")
+        core.view.listen(self._apply_list)
+        core.membership.listen(self._apply_routes)
         self._forwarder.start()
-        self._log.write(Event.PROCESS_STARTED, role="balancer")
+        core.log.write(Event.PROCESS_STARTED, role="balancer")
 
     async def close(self) -> None:
         """Release the addresses; flows need nothing from this process."""
-        self._log.write(Event.PROCESS_STOPPING)
+        self._core.log.write(Event.PROCESS_STOPPING)
+        self._core.membership.announce_leave()
         if self._forwarder is not None:
             self._forwarder.close()
-        await self._follower.close()
-        await self._client.close()
-        self._log.write(Event.PROCESS_STOPPED)
+        await self._core.close()
 
     def _service_number(self, name: str) -> ServiceNumber:
-        number = self._view.service_numbers().get(name)
+        number = self._core.view.service_numbers().get(name)
         if number is None:
             raise UnknownServiceError(service=name)
         return number
 
-    def _apply(self, name: str) -> None:
+    def _on_agent_refused(self, endpoint: Endpoint) -> None:
+        process_id = self._process_by_endpoint.get(endpoint)
+        if process_id is not None:
+            self._core.membership.port_closed(process_id)
+
+    def _apply_list(self, name: str) -> None:
         if self._router is None or self._forwarder is None:
             return
-        codec = self._view.token_codec()
+        view = self._core.view
+        codec = view.token_codec()
         if name == "services" and codec is not None:
             self._router.set_codec(codec)
-        self._forwarder.set_agents(self._view.endpoints_by_agent())
+        if name == "vms":
+            self._forwarder.set_agents(view.endpoints_by_agent())
+            self._process_by_endpoint = {
+                Endpoint.parse(vm.address): ProcessId(vm.name) for vm in view.vms.agents
+            }
+        self._apply_routes()
+
+    def _apply_routes(self) -> None:
+        if self._router is None:
+            return
         self._router.set_routes(
-            routes=self._view.agent_routes(), services=self._view.service_numbers().values()
+            routes=build_routes(self._core.view, self._core.membership.view),
+            services=self._core.view.service_numbers().values(),
         )
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/control_server.py
@@ -0,0 +1,83 @@
+"""The gRPC server of a process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import grpc
+
+from laburnumbridge.runtime.errors import AddressInUseError
+from laburnumbridge.wire import control_pb2
+from laburnumbridge.wire import control_pb2_grpc
+
+if TYPE_CHECKING:
+    from laburnumbridge.runtime.configuration_driver import ConfigurationDriver
+    from laburnumbridge.runtime.forwarded_requests import ForwardedRequests
+    from laburnumbridge.wire import Endpoint
+    from laburnumbridge.wire import ServerCertificates
+
+STOP_GRACE_S = 1.0
+
+
+class ControlServicer(control_pb2_grpc.ControlServicer):
+    """Answers the calls of other processes and of the operators' commands."""
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationDriver,
+        forwarded: ForwardedRequests | None,
+    ) -> None:
+        self._configuration = configuration
+        self._forwarded = forwarded
+
+    async def ForwardRequest(  # noqa: N802, named by the schema
+        self,
+        request: control_pb2.ForwardRequestRequest,
+        context: grpc.aio.ServicerContext[
+            control_pb2.ForwardRequestRequest, control_pb2.ForwardRequestResponse
+        ],
+    ) -> control_pb2.ForwardRequestResponse:
+        """Run a sibling's request."""
+        if self._forwarded is None:
+            await context.abort(grpc.StatusCode.UNIMPLEMENTED, "this process is not an agent")
+        assert self._forwarded is not None
+        return await self._forwarded.run(request)
+
+    async def GetValue(  # noqa: N802, named by the schema
+        self,
+        request: control_pb2.GetValueRequest,
+        context: grpc.aio.ServicerContext[
+            control_pb2.GetValueRequest, control_pb2.GetValueResponse
+        ],
+    ) -> control_pb2.GetValueResponse:
+        """Return a configuration value."""
+        return self._configuration.answer_request(request)
+
+
+class ControlServer:
+    """Serves ``Control`` over mutual TLS at the control address."""
+
+    def __init__(
+        self, *, address: Endpoint, certificates: ServerCertificates, servicer: ControlServicer
+    ) -> None:
+        self._address = address
+        self._certificates = certificates
+        self._servicer = servicer
+        self._server: grpc.aio.Server | None = None
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        server = grpc.aio.server()
+        control_pb2_grpc.add_ControlServicer_to_server(self._servicer, server)
+        try:
+            server.add_secure_port(str(self._address), self._certificates.credentials())
+        except RuntimeError as error:
+            raise AddressInUseError(address=str(self._address), reason=str(error)) from error
+        await server.start()
+        self._server = server
+
+    async def close(self) -> None:
+        """Stop serving; running calls get a moment to finish."""
+        if self._server is not None:
+            await self._server.stop(STOP_GRACE_S)
--- a/libs/runtime/src/laburnumbridge/runtime/errors.py
+++ b/libs/runtime/src/laburnumbridge/runtime/errors.py
@@ -57,3 +57,21 @@
     def __init__(self, *, service: str) -> None:
         super().__init__(f"service {service!r} is not in the list of services")
         self.service = service
+
+
+class SiblingNotReachedError(UnavailableError):
+    """The request never left for the sibling."""
+
+    def __init__(self, *, sibling: str, reason: str) -> None:
+        super().__init__(f"agent {sibling} can't be reached: {reason}")
+        self.sibling = sibling
+        self.reason = reason
+
+
+class SiblingLostError(UnavailableError):
+    """The sibling was lost after the request may have arrived."""
+
+    def __init__(self, *, sibling: str, reason: str) -> None:
+        super().__init__(f"agent {sibling} was lost: {reason}")
+        self.sibling = sibling
+        self.reason = reason
--- a/libs/runtime/src/laburnumbridge/runtime/fleet_view.py
+++ b/libs/runtime/src/laburnumbridge/runtime/fleet_view.py
@@ -12,8 +12,6 @@
 from laburnumbridge.lists import ServiceList
 from laburnumbridge.lists import VmList
 from laburnumbridge.lists import parse_list
-from laburnumbridge.routing import AgentRoute
-from laburnumbridge.routing import AgentState
 from laburnumbridge.routing import TokenCodec
 from laburnumbridge.wire import Endpoint
 
@@ -42,6 +40,7 @@
         self.directory: GuestDirectory | None = None
         self.older_ignored = 0
         self._gone_by_number: dict[AgentNumber, Vm] = {}
+        self._control_endpoint_by_process: dict[str, Endpoint] = {}
         self._listeners: list[Callable[[str], None]] = []
 
     @property
@@ -65,6 +64,9 @@
         parsed = parse_list(name, payload, model)
         if isinstance(parsed, VmList):
             self._note_gone(parsed)
+            self._control_endpoint_by_process = {
+                vm.name: Endpoint.parse(vm.control_address) for vm in parsed.vms
+            }
         if isinstance(parsed, GuestList):
             self.directory = GuestDirectory(guests=parsed)
         setattr(self, name, parsed)
@@ -77,10 +79,16 @@
         """Datagram addresses of the live balancers, in a stable order."""
         return sorted(Endpoint.parse(vm.address) for vm in self.vms.balancers if vm.state == "live")
 
+    def control_endpoint(self, process_id: str) -> Endpoint | None:
+        """Address of a process for control messages, or None for one that isn't listed."""
+        return self._control_endpoint_by_process.get(process_id)
+
     def endpoints_by_agent(self) -> dict[AgentNumber, Endpoint]:
         """Datagram address of each agent, including those that left the list."""
-        agents = [*self._gone_by_number.values(), *self.vms.agents]
-        return {AgentNumber(vm.number or 0): Endpoint.parse(vm.address) for vm in agents}
+        return {
+            AgentNumber(vm.number or 0): Endpoint.parse(vm.address)
+            for vm in reversed(self.known_agents())
+        }
 
     def service_numbers(self) -> dict[str, ServiceNumber]:
         """Number of each service by its name."""
@@ -96,21 +104,9 @@
             current_number=self.services.current_key_number,
         )
 
-    def agent_routes(self) -> list[AgentRoute]:
-        """Routes from the platform's list alone."""
-        numbers = self.service_numbers()
-        states = {"live": AgentState.LIVE, "leaving": AgentState.LEAVING}
-        listed = [(vm, states[vm.state]) for vm in self.vms.agents]
-        gone = [(vm, AgentState.GONE) for vm in self._gone_by_number.values()]
-        return [
-            AgentRoute(
-                agent_number=AgentNumber(vm.number or 0),
-                service_number=numbers[vm.service],
-                state=state,
-            )
-            for vm, state in listed + gone
-            if vm.service in numbers
-        ]
+    def known_agents(self) -> list[Vm]:
+        """Agents of the list, and those that have left it."""
+        return [*self.vms.agents, *self._gone_by_number.values()]
 
     def _note_gone(self, newer: VmList) -> None:
         listed = {vm.number for vm in newer.agents}
--- a/libs/runtime/src/laburnumbridge/runtime/flow_endpoint.py
+++ b/libs/runtime/src/laburnumbridge/runtime/flow_endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from abc import ABC
 from abc import abstractmethod
 from collections import Counter
@@ -15,6 +16,7 @@
 
 from laburnumbridge.routing import CONNECTION_ID_BYTES
 from laburnumbridge.runtime.guest_connection import GuestConnection
+from laburnumbridge.runtime.guest_request import ConnectionRecord
 from laburnumbridge.runtime.return_path import ReturnPath
 from laburnumbridge.runtime.stateless_reset import build_stateless_reset
 from laburnumbridge.runtime.token_connection import TokenConnection
@@ -32,6 +34,7 @@
     from aioquic.quic.packet import QuicHeader
 
     from laburnumbridge.runtime.connection_id_issuer import ConnectionIdIssuer
+    from laburnumbridge.runtime.request_recorder import RequestRecorder
     from laburnumbridge.runtime.responder import RequestHandler
     from laburnumbridge.wire import Encapsulation
 
@@ -67,7 +70,10 @@
         handler: RequestHandler,
         policy: HandshakePolicy,
         list_balancers: Callable[[], Sequence[Endpoint]],
+        recorder: RequestRecorder,
     ) -> None:
+        self._recorder = recorder
+        self._request_numbers = itertools.count(1)
         self._encapsulation = encapsulation
         self._issuer = issuer
         self._quic_configuration = quic_configuration
@@ -214,7 +220,9 @@
         connection = GuestConnection(
             quic=quic,
             path=path,
+            record=ConnectionRecord(connection_id=original_id),
             handler=self._handler,
+            next_request_id=self._next_request_id,
             on_opened=self._on_opened,
             on_closed=self._on_closed,
         )
@@ -225,6 +233,10 @@
         connection._connection_id_retired_handler = lambda cid: self._remove_id(connection, cid)
         return connection
 
+    def _next_request_id(self) -> str:
+        agent, incarnation = self._issuer.agent_number, self._issuer.incarnation
+        return f"{agent:x}-{incarnation:x}-{next(self._request_numbers):x}"
+
     def _add_id(self, connection: GuestConnection, connection_id: bytes) -> None:
         self._connection_by_id[connection_id] = connection
         self._ids_by_connection[connection].add(connection_id)
@@ -235,9 +247,15 @@
 
     def _on_opened(self, connection: GuestConnection) -> None:
         self._policy.opened(asyncio.get_running_loop().time())
+        self._recorder.flow_opened(connection.record.connection_id.hex())
 
     def _on_closed(self, connection: GuestConnection) -> None:
         for connection_id in self._ids_by_connection.pop(connection, ()):
             self._connection_by_id.pop(connection_id, None)
         if connection.opened:
             self._policy.closed(asyncio.get_running_loop().time())
+            self._recorder.flow_closed(
+                connection.record.connection_id.hex(),
+                connection.close_reason,
+                broken=not connection.closed_in_order,
+            )
--- a/libs/runtime/src/laburnumbridge/runtime/guest_connection.py
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_connection.py
@@ -30,6 +30,7 @@
     from aioquic.h3.events import H3Event
     from aioquic.quic.events import QuicEvent
 
+    from laburnumbridge.runtime.guest_request import ConnectionRecord
     from laburnumbridge.runtime.responder import RequestHandler
     from laburnumbridge.runtime.return_path import ReturnPath
     from laburnumbridge.runtime.token_connection import TokenConnection
@@ -37,28 +38,27 @@
 KEEPALIVE_INTERVAL_S = 3.0
 UNSENT_LIMIT_BYTES = 256 * 1024
 
+REQUEST_ID_HEADER = b"laburnumbridge-request-id"
+
 _BACKPRESSURE_POLL_S = 0.01
+# NO_ERROR of QUIC and H3_NO_ERROR; an idle timeout and a lost peer have other codes.
+_ORDERLY_CODES = frozenset({0x0, 0x100})
 
 
 class StreamResponder(Responder):
     """Answers on one HTTP/3 stream."""
 
-    def __init__(self, *, connection: GuestConnection, stream_id: int) -> None:
+    def __init__(self, *, connection: GuestConnection, stream_id: int, request_id: str) -> None:
         self._connection = connection
         self._stream_id = stream_id
-        self._started = False
-
-    @property
-    def started(self) -> bool:
-        """True once any part of the answer was sent."""
-        return self._started
+        self._request_id = request_id
 
     async def start(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
         """Send status and headers."""
         fields = [(b":status", str(status).encode())]
         fields += [(name.lower().encode(), value.encode()) for name, value in headers]
+        fields.append((REQUEST_ID_HEADER, self._request_id.encode()))
         self._connection.require_open()
-        self._started = True
         self._connection.http.send_headers(self._stream_id, fields)
         self._connection.transmit_soon()
 
@@ -90,7 +90,9 @@
         *,
         quic: TokenConnection,
         path: ReturnPath,
+        record: ConnectionRecord,
         handler: RequestHandler,
+        next_request_id: Callable[[], str],
         on_opened: Callable[[GuestConnection], None],
         on_closed: Callable[[GuestConnection], None],
     ) -> None:
@@ -99,7 +101,11 @@
         self._http: H3Connection | None = None
         self.opened = False
         self.going_away = False
+        self.record = record
+        self.close_reason = ""
+        self.closed_in_order = False
         self._handler = handler
+        self._next_request_id = next_request_id
         self._on_opened = on_opened
         self._on_closed = on_closed
         self._ended = False
@@ -169,6 +175,8 @@
         elif isinstance(event, StreamReset | StopSendingReceived):
             self._cancel(event.stream_id)
         elif isinstance(event, ConnectionTerminated):
+            self.closed_in_order = event.error_code in _ORDERLY_CODES
+            self.close_reason = event.reason_phrase or f"code {event.error_code:#x}"
             self._end()
         if self._http is None:
             return
@@ -197,15 +205,19 @@
         ]
         pseudo = {name: value for name, value in fields if name.startswith(":")}
         request = GuestRequest(
+            request_id=self._next_request_id(),
             method=pseudo.get(":method", "GET"),
             path=pseudo.get(":path", "/"),
             authority=pseudo.get(":authority", ""),
             headers=tuple(pair for pair in fields if not pair[0].startswith(":")),
             source=self.path.guest.host,
+            connection=self.record,
         )
         self._last_stream_id = max(self._last_stream_id, event.stream_id)
         self._request_by_stream[event.stream_id] = request
-        responder = StreamResponder(connection=self, stream_id=event.stream_id)
+        responder = StreamResponder(
+            connection=self, stream_id=event.stream_id, request_id=request.request_id
+        )
         task = asyncio.create_task(self._run(request, responder))
         self._task_by_stream[event.stream_id] = task
         task.add_done_callback(lambda _: self._forget(event.stream_id))
@@ -233,6 +245,7 @@
             self._keepalive.cancel()
         for task in list(self._task_by_stream.values()):
             task.cancel()
+        self._handler.connection_closed(self.record)
         self._on_closed(self)
 
     def _schedule_keepalive(self) -> None:
--- a/libs/runtime/src/laburnumbridge/runtime/guest_request.py
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_request.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from laburnumbridge.core import PlanName
+
 MAX_BUFFERED_BODY_BYTES = 4 * 1024 * 1024
 
 
@@ -53,15 +55,30 @@
         return b"".join(parts)
 
 
+@dataclass(kw_only=True, slots=True, eq=False)
+class ConnectionRecord:
+    """What handlers remember of a guest's connection.
+
+    ``connection_id`` is the first one that the guest chose. ``plan`` is set once the connection
+    counts against a plan.
+    """
+
+    connection_id: bytes
+    plan: PlanName | None = None
+    admitting: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GuestRequest:
     """Head and body of a request; header names are lower case, ``source`` is an IP address."""
 
+    request_id: str
     method: str
     path: str
     authority: str
     headers: tuple[tuple[str, str], ...]
     source: str
+    connection: ConnectionRecord
     body: RequestBody = field(default_factory=RequestBody)
 
     def header(self, name: str) -> str | None:
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/placement_policy.py
@@ -0,0 +1,121 @@
+"""Places new connections among the agents of a service."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from laburnumbridge import placement as plc
+from laburnumbridge.runtime.flow_endpoint import HandshakePolicy
+from laburnumbridge.runtime.message_kinds import MessageKind
+from laburnumbridge.runtime.timer import PeriodicTimer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from laburnumbridge.core import AgentNumber
+    from laburnumbridge.core import ProcessId
+    from laburnumbridge.runtime.control_link import ControlLink
+    from laburnumbridge.wire import Endpoint
+
+REPORT_INTERVAL_S = 1.0
+
+
+class PlacementPolicy(HandshakePolicy):
+    """Drives the placement decision and exchanges load reports with the siblings.
+
+    ``ask_to_reconnect(count)`` is called where flows should move to other upstreams.
+    """
+
+    def __init__(
+        self,
+        *,
+        placement: plc.Placement,
+        link: ControlLink,
+        ask_to_reconnect: Callable[[int], None],
+    ) -> None:
+        self._placement = placement
+        self._link = link
+        self._ask_to_reconnect = ask_to_reconnect
+        self._endpoint_by_number: dict[AgentNumber, Endpoint] = {}
+        self._number_by_process: dict[ProcessId, AgentNumber] = {}
+        self._state_by_number: dict[AgentNumber, plc.SiblingState] = {}
+        self._timer = PeriodicTimer(interval_s=REPORT_INTERVAL_S, callback=self._report)
+        self.open_flows = 0
+        self.handed_off = 0
+        link.register(MessageKind.LOAD_REPORT, plc.LoadReport, self._on_report)
+
+    def start(self) -> None:
+        """Begin to report."""
+        self._timer.start()
+
+    def close(self) -> None:
+        """Stop reporting."""
+        self._timer.close()
+
+    def set_siblings(
+        self,
+        *,
+        endpoint_by_number: Mapping[AgentNumber, Endpoint],
+        number_by_process: Mapping[ProcessId, AgentNumber],
+        state_by_number: Mapping[AgentNumber, plc.SiblingState],
+    ) -> None:
+        """Replace what is known of the other agents of the service."""
+        self._endpoint_by_number = dict(endpoint_by_number)
+        self._number_by_process = dict(number_by_process)
+        gone = dict.fromkeys(self._state_by_number, plc.SiblingState.GONE)
+        for number, state in {**gone, **state_by_number}.items():
+            if self._state_by_number.get(number) is not state:
+                self._tell(plc.SiblingChanged(agent_number=number, state=state))
+        self._state_by_number = dict(state_by_number)
+
+    def drain(self) -> None:
+        """Send new connections elsewhere from now on."""
+        self._tell(plc.DrainStarted())
+
+    def upstream_started_cold(self) -> None:
+        """Note that the upstream has just started."""
+        self._tell(plc.UpstreamStartedCold())
+
+    def busy_slots_changed(self, busy_slots: int) -> None:
+        """Note how many slots of the upstream are in use."""
+        self._tell(plc.BusySlotsChanged(busy_slots))
+
+    def choose(self, flow_key: bytes, *, handed_off: bool, now: float) -> Endpoint | None:
+        """Return the sibling that takes the handshake, or None to take it here."""
+        arrived = plc.HandshakeArrived(key=flow_key, was_forwarded=handed_off)
+        for action in self._placement.handle(arrived, now):
+            if isinstance(action, plc.ForwardHandshake):
+                endpoint = self._endpoint_by_number.get(action.agent_number)
+                self.handed_off += endpoint is not None
+                return endpoint
+        return None
+
+    def opened(self, now: float) -> None:
+        """Note that a connection has completed its handshake here."""
+        self.open_flows += 1
+        self._placement.handle(plc.FlowOpened(), now)
+
+    def closed(self, now: float) -> None:
+        """Note that an open connection has ended."""
+        self.open_flows -= 1
+        self._placement.handle(plc.FlowClosed(), now)
+
+    def _tell(self, event: plc.PlacementEvent) -> None:
+        now = asyncio.get_running_loop().time()
+        for action in self._placement.handle(event, now):
+            if isinstance(action, plc.AskToReconnect):
+                self._ask_to_reconnect(action.count)
+
+    def _report(self) -> None:
+        self._tell(plc.Tick())
+        report = self._placement.load_report(asyncio.get_running_loop().time())
+        for process_id in self._number_by_process:
+            self._link.send(process_id, report)
+
+    def _on_report(self, sender: ProcessId, report: plc.LoadReport) -> None:
+        number = self._number_by_process.get(sender)
+        if number is not None:
+            reported = plc.SiblingReported(agent_number=number, report=report, age_s=0.0)
+            self._tell(reported)
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/process_core.py
@@ -0,0 +1,121 @@
+"""What every process has: lists, membership, control messages and gRPC."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import Incarnation
+from laburnumbridge.core import ProcessId
+from laburnumbridge.membership import MemberState
+from laburnumbridge.runtime.configuration_driver import ConfigurationDriver
+from laburnumbridge.runtime.control_link import DatagramControlLink
+from laburnumbridge.runtime.control_server import ControlServer
+from laburnumbridge.runtime.control_server import ControlServicer
+from laburnumbridge.runtime.fleet_view import FleetView
+from laburnumbridge.runtime.membership_driver import MembershipDriver
+from laburnumbridge.runtime.platform_client import PlatformClient
+from laburnumbridge.telemetry import DecisionRing
+from laburnumbridge.telemetry import Event
+from laburnumbridge.telemetry import EventLog
+from laburnumbridge.telemetry import MetricRegistry
+from laburnumbridge.wire import ChannelPool
+from laburnumbridge.wire import Endpoint
+from laburnumbridge.wire import FileCertificateSource
+from laburnumbridge.wire import SealingKey
+from laburnumbridge.wire import ServerCertificates
+
+if TYPE_CHECKING:
+    from laburnumbridge.runtime.forwarded_requests import ForwardedRequests
+    from laburnumbridge.settings import ProcessSettings
+
+_USABLE_STATES = frozenset({MemberState.LIVE, MemberState.LEAVING, MemberState.SUSPECT})
+
+
+class ProcessCore:
+    """Builds and owns the control plane of one process."""
+
+    def __init__(self, *, settings: ProcessSettings) -> None:
+        self.settings = settings
+        self.process_id = ProcessId(settings.name)
+        self.incarnation = Incarnation(int(time.time()))
+        self.log = EventLog(process=settings.name, level=settings.log_level)
+        self.metrics = MetricRegistry()
+        self.ring = DecisionRing()
+        self.view = FleetView()
+        self._client = PlatformClient(url=settings.platform_url)
+        self._certificates = FileCertificateSource(
+            authorities=settings.control_tls.authority,
+            chain=settings.control_tls.certificate,
+            private_key=settings.control_tls.private_key,
+        )
+        self.channels = ChannelPool(source=self._certificates)
+        self.link = DatagramControlLink(
+            own=self.process_id,
+            incarnation=self.incarnation,
+            address=Endpoint.parse(settings.control_address),
+            keys=[
+                SealingKey(key.number, bytes.fromhex(key.secret), current=key.current)
+                for key in settings.control_keys
+            ],
+            find_endpoint=self.view.control_endpoint,
+        )
+        self.membership = MembershipDriver(
+            own=self.process_id,
+            incarnation=self.incarnation,
+            link=self.link,
+            log=self.log,
+            ring=self.ring,
+            wall_clock=time.time,
+        )
+        self.configuration = ConfigurationDriver(
+            own=self.process_id,
+            incarnation=self.incarnation,
+            failure_domain=settings.failure_domain,
+            expected_processes=settings.expected_processes,
+            client=self._client,
+            view=self.view,
+            link=self.link,
+            channels=self.channels,
+            log=self.log,
+        )
+        self._server: ControlServer | None = None
+        self.view.listen(self._on_list)
+        self.membership.listen(self._on_members)
+
+    async def start(self, *, forwarded: ForwardedRequests | None = None) -> None:
+        """Start the control plane and wait until every list is in force."""
+        await self._client.start()
+        self.link.start()
+        self._server = ControlServer(
+            address=Endpoint.parse(self.settings.control_address),
+            certificates=ServerCertificates(source=self._certificates),
+            servicer=ControlServicer(configuration=self.configuration, forwarded=forwarded),
+        )
+        await self._server.start()
+        self.membership.start()
+        await self.configuration.start()
+
+    async def close(self) -> None:
+        """Stop everything."""
+        await self.configuration.close()
+        self.membership.close()
+        if self._server is not None:
+            await self._server.close()
+        self.link.close()
+        await self.channels.close()
+        await self._client.close()
+        self.log.write(Event.PROCESS_STOPPED)
+
+    def _on_list(self, name: str) -> None:
+        if name == "vms":
+            self.membership.set_list(self.view.version_by_name["vms"], self.view.vms)
+
+    def _on_members(self) -> None:
+        view = self.membership.view
+        live = [
+            (member.process_id, member.failure_domain)
+            for member in view.members()
+            if view.state(member.process_id) in _USABLE_STATES
+        ]
+        self.configuration.set_members(live)
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/request_runner.py
@@ -0,0 +1,312 @@
+"""Drives the decisions on requests: coordinator, admission and the calls that they ask for."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from laburnumbridge import admission as adm
+from laburnumbridge import requests as req
+from laburnumbridge.runtime import answer_steps as steps
+from laburnumbridge.runtime.errors import SiblingLostError
+from laburnumbridge.runtime.errors import SiblingNotReachedError
+from laburnumbridge.runtime.errors import UpstreamLostError
+from laburnumbridge.runtime.errors import UpstreamNotReachedError
+from laburnumbridge.runtime.message_kinds import MessageKind
+from laburnumbridge.runtime.responder import DEADLINE_HEADER
+from laburnumbridge.runtime.sibling_calls import ForwardedOutcome
+from laburnumbridge.runtime.sibling_calls import ForwardedRequest
+from laburnumbridge.runtime.timer import PeriodicTimer
+from laburnumbridge.runtime.upstream_client import UpstreamRequest
+
+if TYPE_CHECKING:
+    from laburnumbridge.core import ProcessId
+    from laburnumbridge.core import RequestId
+    from laburnumbridge.runtime.control_link import ControlLink
+    from laburnumbridge.runtime.running_request import RunningRequest
+    from laburnumbridge.runtime.sibling_calls import ForwardedAnswer
+    from laburnumbridge.runtime.sibling_calls import SiblingCalls
+    from laburnumbridge.runtime.upstream_client import UpstreamAnswer
+    from laburnumbridge.runtime.upstream_client import UpstreamClient
+
+TICK_S = 0.05
+# Answers above this size are passed on but not kept for repeats of a key.
+STORED_ANSWER_BYTES = 256 * 1024
+
+_MILLISECONDS = 1000
+_RETRY_AFTER = "retry-after"
+
+
+class RequestRunner:
+    """Feeds the coordinator and the admission of one upstream, and does what they decide."""
+
+    def __init__(
+        self,
+        *,
+        coordinator: req.RequestCoordinator,
+        admission: adm.Admission,
+        upstream: UpstreamClient,
+        siblings: SiblingCalls,
+        link: ControlLink,
+    ) -> None:
+        self._coordinator = coordinator
+        self._admission = admission
+        self._upstream = upstream
+        self._siblings = siblings
+        self._link = link
+        self._running_by_id: dict[RequestId, RunningRequest] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer = PeriodicTimer(interval_s=TICK_S, callback=self._tick)
+        self.retries_by_cause: Counter[str] = Counter()
+        link.register(MessageKind.KEY_INQUIRY, req.KeyInquired, self._on_key_inquiry)
+        link.register(MessageKind.KEY_REPLY, req.KeyReplied, self._on_key_reply)
+
+    @property
+    def running(self) -> int:
+        """Requests without a final answer."""
+        return len(self._running_by_id)
+
+    def start(self) -> None:
+        """Begin to tick."""
+        self._timer.start()
+
+    async def close(self) -> None:
+        """Cancel what still runs."""
+        self._timer.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def begin(self, running: RunningRequest, arrival: req.RequestArrived) -> None:
+        """Start to work on a request; its answer comes as steps."""
+        self._running_by_id[running.request_id] = running
+        self._decide(arrival)
+
+    def abandon(self, running: RunningRequest) -> None:
+        """Note that nobody waits for the answer any more."""
+        running.reader_gone = True
+        running.steps.abandon()
+        self._decide(req.GuestGone(running.request_id))
+
+    def tell_admission(self, event: adm.AdmissionEvent) -> list[adm.AdmissionAction]:
+        """Pass an event to admission; return what concerns connections and streams."""
+        actions = self._admission.handle(event, self._now())
+        return [action for action in actions if not self._apply_admission(action)]
+
+    def set_agents(self, event: req.AgentSetChanged) -> None:
+        """Replace the agents of the service."""
+        self._decide(event)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _tick(self) -> None:
+        self._decide(req.Tick())
+        if self._admission.next_deadline() <= self._now():
+            self.tell_admission(adm.Tick())
+
+    def _on_key_inquiry(self, sender: ProcessId, message: req.KeyInquired) -> None:
+        if message.asker.process_id == sender:
+            self._decide(message)
+
+    def _on_key_reply(self, sender: ProcessId, message: req.KeyReplied) -> None:
+        if message.sibling.process_id == sender:
+            self._decide(message)
+
+    def _decide(self, event: req.RequestEvent) -> None:
+        for action in self._coordinator.handle(event, self._now()):
+            self._apply(action)
+
+    def _apply(self, action: req.RequestAction) -> None:
+        match action:
+            case req.SendKeyInquiry(sibling, message) | req.SendKeyReply(sibling, message):
+                self._link.send(sibling.process_id, message)
+                return
+        running = self._running_by_id.get(action.request_id)
+        if running is None:
+            return
+        match action:
+            case req.AskAdmission(request_id, plan, deadline_at):
+                arrived = adm.RequestArrived(request_id=request_id, plan=plan, deadline=deadline_at)
+                self.tell_admission(arrived)
+            case req.ReleaseAdmission():
+                self._release(running)
+            case req.SendUpstream(_, remaining_ms):
+                running.upstream_call = self._spawn(self._call_upstream(running, remaining_ms))
+            case req.CancelUpstream():
+                _cancel(running.upstream_call)
+            case req.ForwardToSibling():
+                running.retries += action.role is req.ArrivalRole.RETRY
+                running.sibling_call = self._spawn(self._call_sibling(running, action))
+            case req.CancelSibling():
+                _cancel(running.sibling_call)
+            case req.StartAnswer(_, status):
+                running.steps.put(steps.StartStep(status, running.answer_headers))
+            case _:
+                self._finish(running, action)
+
+    def _finish(self, running: RunningRequest, action: req.RequestAction) -> None:
+        match action:
+            case req.FinishAnswer():
+                running.steps.put(steps.FinishStep())
+            case req.CutAnswer():
+                running.steps.put(steps.CutStep())
+            case req.ReplayAnswer(_, answer):
+                running.steps.put(steps.ReplayStep(answer))
+            case req.AnswerRefused(_, refusal):
+                running.steps.put(steps.RefuseStep(refusal))
+            case req.AnswerOutcomeUnknown():
+                running.steps.put(steps.UnknownStep())
+            case req.AnswerStatus(_, status):
+                running.steps.put(steps.StatusStep(status))
+        # A keyed run goes on without its guest; its calls still need this record.
+        if not isinstance(action, req.DropAnswer) or running.content.key is None:
+            self._running_by_id.pop(running.request_id, None)
+
+    def _apply_admission(self, action: adm.AdmissionAction) -> bool:
+        match action:
+            case adm.StartRequest(request_id) if request_id in self._running_by_id:
+                self._decide(req.AdmissionStarted(request_id))
+            case adm.RefuseRequest(request_id, refusal) | adm.ExpireRequest(
+                request_id, refusal
+            ) if (request_id in self._running_by_id):
+                self._decide(req.AdmissionRefused(request_id, refusal))
+            case adm.AbortRequest(request_id) if request_id in self._running_by_id:
+                self._decide(req.Tick())
+            case _:
+                return False
+        return True
+
+    def _release(self, running: RunningRequest) -> None:
+        if running.outcome is None:
+            self.tell_admission(adm.RequestCancelled(request_id=running.request_id))
+            return
+        finished = adm.RequestFinished(
+            request_id=running.request_id,
+            outcome=running.outcome,
+            retry_after_s=running.retry_after_s,
+        )
+        self.tell_admission(finished)
+
+    def _spawn(self, work: asyncio._CoroutineLike[None]) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.ensure_future(work)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _call_upstream(self, running: RunningRequest, remaining_ms: int | None) -> None:
+        request_id = running.request_id
+        try:
+            async with self._upstream.send(_upstream_request(running, remaining_ms)) as answer:
+                await self._pass_on(running, answer)
+        except UpstreamNotReachedError:
+            running.outcome = adm.Outcome.CONNECTION_REFUSED
+            self.retries_by_cause["not_connected"] += 1
+            self._decide(req.UpstreamNotConnected(request_id))
+        except UpstreamLostError:
+            running.outcome = adm.Outcome.CONNECTION_LOST
+            self._decide(req.UpstreamLost(request_id))
+
+    async def _pass_on(self, running: RunningRequest, answer: UpstreamAnswer) -> None:
+        retry_after = _parse_seconds(answer.header(_RETRY_AFTER))
+        is_shed = answer.status == req.SHED_STATUS and retry_after is not None
+        running.answer_headers = answer.headers
+        running.retry_after_s = retry_after or 0.0
+        running.outcome = adm.Outcome.SHED if is_shed else _outcome(answer.status)
+        headers = req.UpstreamHeaders(running.request_id, answer.status, retry_after)
+        self._decide(headers)
+        if is_shed:
+            return
+        kept = bytearray()
+        async for chunk in answer.body:
+            if running.content.key is not None and len(kept) <= STORED_ANSWER_BYTES:
+                kept += chunk
+            await running.steps.put_chunk(chunk)
+        stored = None
+        if running.content.key is not None and len(kept) <= STORED_ANSWER_BYTES:
+            stored = req.StoredAnswer(answer.status, answer.headers, bytes(kept))
+        self._decide(req.UpstreamCompleted(running.request_id, stored))
+
+    async def _call_sibling(self, running: RunningRequest, action: req.ForwardToSibling) -> None:
+        request_id, attempt = action.request_id, action.attempt
+        try:
+            answer = await self._siblings.forward(_forwarded_request(running, action))
+        except SiblingNotReachedError:
+            self._decide(req.SiblingNotConnected(request_id, attempt))
+        except SiblingLostError:
+            self._decide(req.SiblingLost(request_id, attempt))
+        else:
+            await self._take_forwarded(running, attempt, answer)
+
+    async def _take_forwarded(
+        self, running: RunningRequest, attempt: int, forwarded: ForwardedAnswer
+    ) -> None:
+        request_id = running.request_id
+        if forwarded.outcome is ForwardedOutcome.NOT_RUN and forwarded.refusal is not None:
+            self._decide(req.SiblingRefused(request_id, attempt, forwarded.refusal))
+            return
+        answer = forwarded.answer
+        if answer is None:
+            self._decide(req.SiblingLost(request_id, attempt))
+            return
+        running.answer_headers = answer.headers
+        self._decide(req.SiblingHeaders(request_id, attempt, answer.status))
+        await running.steps.put_chunk(answer.body)
+        if forwarded.outcome is ForwardedOutcome.WHOLE:
+            self._decide(req.SiblingCompleted(request_id, attempt, answer))
+        else:
+            self._decide(req.SiblingLost(request_id, attempt))
+
+
+def _upstream_request(running: RunningRequest, remaining_ms: int | None) -> UpstreamRequest:
+    content = running.content
+    headers = tuple(pair for pair in content.headers if pair[0] != DEADLINE_HEADER)
+    if remaining_ms is not None:
+        headers += ((DEADLINE_HEADER, str(remaining_ms)),)
+    return UpstreamRequest(
+        method=content.method,
+        path=content.path,
+        authority=content.authority,
+        headers=headers,
+        body=content.body,
+    )
+
+
+def _forwarded_request(running: RunningRequest, action: req.ForwardToSibling) -> ForwardedRequest:
+    content = running.content
+    remaining_ms = action.remaining_ms
+    return ForwardedRequest(
+        request_id=action.forward_id,
+        plan=running.plan,
+        method=content.method,
+        path=content.path,
+        authority=content.authority,
+        headers=content.headers,
+        body=content.body,
+        role=action.role,
+        addressee=action.sibling,
+        deadline_s=None if remaining_ms is None else remaining_ms / _MILLISECONDS,
+        key=content.key,
+        fingerprint=content.fingerprint,
+        first_attempt_age_s=content.first_attempt_age_s,
+    )
+
+
+def _cancel(task: asyncio.Task[None] | None) -> None:
+    if task is not None:
+        task.cancel()
+
+
+def _outcome(status: int) -> adm.Outcome:
+    return adm.Outcome.UPSTREAM_ERROR if status >= 500 else adm.Outcome.SUCCESS
+
+
+def _parse_seconds(value: str | None) -> float | None:
+    """Return a Retry-After in seconds; one given as a date counts as one second."""
+    if value is None:
+        return None
+    try:
+        return max(float(value), 0.0)
+    except ValueError:
+        return 1.0
--- a/libs/runtime/src/laburnumbridge/runtime/responder.py
+++ b/libs/runtime/src/laburnumbridge/runtime/responder.py
@@ -6,17 +6,23 @@
 from abc import abstractmethod
 from typing import TYPE_CHECKING
 
+from laburnumbridge.core import RefusalReason
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from laburnumbridge.core import Refusal
+    from laburnumbridge.runtime.guest_request import ConnectionRecord
     from laburnumbridge.runtime.guest_request import GuestRequest
 
 REFUSAL_HEADER = "laburnumbridge-refusal"
 OUTCOME_HEADER = "laburnumbridge-outcome"
 DEADLINE_HEADER = "laburnumbridge-deadline-ms"
+FIRST_ATTEMPT_HEADER = "laburnumbridge-first-attempt-ms"
+KEY_HEADER = "idempotency-key"
 
 _STATUS_TOO_MANY = 429
+_STATUS_BAD_GATEWAY = 502
 _STATUS_UNAVAILABLE = 503
 _STATUS_TIMEOUT = 504
 
@@ -40,10 +46,26 @@
     def cut(self) -> None:
         """Reset the stream, so that the guest knows that the answer isn't whole."""
 
-    @property
-    @abstractmethod
-    def started(self) -> bool:
-        """True once any part of the answer was sent."""
+    async def answer(self, status: int, text: str, headers: Sequence[tuple[str, str]] = ()) -> None:
+        """Send a short text answer."""
+        body = f"{text}\n".encode()
+        fields = [("content-type", "text/plain"), ("content-length", str(len(body))), *headers]
+        await self.start(status, fields)
+        await self.write(body)
+        await self.finish()
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Tell the guest that the request was not run, and why."""
+        headers = [(REFUSAL_HEADER, _format_refusal(refusal))]
+        if refusal.retry_after_s is not None:
+            headers.append(("retry-after", str(max(1, round(refusal.retry_after_s)))))
+        text = f"not run: {refusal.reason.value}"
+        await self.answer(refusal_status(refusal), text, headers)
+
+    async def answer_unknown(self) -> None:
+        """Tell the guest that the request may have run."""
+        headers = [(OUTCOME_HEADER, "unknown")]
+        await self.answer(_STATUS_BAD_GATEWAY, "outcome unknown", headers)
 
 
 class RequestHandler(ABC):
@@ -53,37 +75,28 @@
     async def handle(self, request: GuestRequest, responder: Responder) -> None:
         """Run one request to its answer."""
 
-
-async def answer_plain(
-    responder: Responder, status: int, text: str, headers: Sequence[tuple[str, str]] = ()
-) -> None:
-    """Send a short text answer."""
-    body = f"{text}\n".encode()
-    fields = [("content-type", "text/plain"), ("content-length", str(len(body))), *headers]
-    await responder.start(status, fields)
-    await responder.write(body)
-    await responder.finish()
+    @abstractmethod
+    def connection_closed(self, connection: ConnectionRecord) -> None:
+        """Note that a guest's connection has ended."""
 
 
 def refusal_status(refusal: Refusal) -> int:
     """Return the status of a refusal: 504 deadline, 429 plan, 503 capacity."""
-    if refusal.reason.value == "deadline_expired":
+    if refusal.reason is RefusalReason.DEADLINE_EXPIRED:
         return _STATUS_TIMEOUT
     return _STATUS_TOO_MANY if refusal.reason.is_plan_limit else _STATUS_UNAVAILABLE
 
 
-async def answer_refusal(responder: Responder, refusal: Refusal) -> None:
-    """Tell the guest that the request was not run, and why."""
-    fields = {
+def _format_refusal(refusal: Refusal) -> str:
+    values = {
         "reason": refusal.reason.value,
         "plan": refusal.plan,
         "limit": refusal.limit,
         "used": refusal.used,
         "version": refusal.list_version,
     }
-    value = "; ".join(f"{name}={field}" for name, field in fields.items() if field is not None)
-    headers = [(REFUSAL_HEADER, value)]
-    if refusal.retry_after_s is not None:
-        headers.append(("retry-after", str(max(1, round(refusal.retry_after_s)))))
-    text = f"not run: {refusal.reason.value}"
-    await answer_plain(responder, refusal_status(refusal), text, headers)
+    return "; ".join(
+        f"{name}={value:g}" if isinstance(value, float) else f"{name}={value}"
+        for name, value in values.items()
+        if value is not None
+    )
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/route_table.py
@@ -0,0 +1,39 @@
+"""Routes of the agents from the list of VMs and their liveness."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import AgentNumber
+from laburnumbridge.core import ProcessId
+from laburnumbridge.membership import MemberState
+from laburnumbridge.routing import AgentRoute
+from laburnumbridge.routing import AgentState
+
+if TYPE_CHECKING:
+    from laburnumbridge.membership import MembershipView
+    from laburnumbridge.runtime.fleet_view import FleetView
+
+_ROUTE_STATES = {
+    MemberState.LIVE: AgentState.LIVE,
+    MemberState.UNKNOWN: AgentState.LIVE,
+    MemberState.SUSPECT: AgentState.SUSPECT,
+    MemberState.LEAVING: AgentState.LEAVING,
+    MemberState.DEAD: AgentState.GONE,
+    MemberState.GONE: AgentState.GONE,
+}
+
+
+def build_routes(view: FleetView, members: MembershipView) -> list[AgentRoute]:
+    """Return a route for each agent of a published service."""
+    numbers = view.service_numbers()
+    return [
+        AgentRoute(
+            agent_number=AgentNumber(vm.number or 0),
+            service_number=numbers[vm.service],
+            state=_ROUTE_STATES[members.state(ProcessId(vm.name))],
+            incarnation=members.incarnation(ProcessId(vm.name)),
+        )
+        for vm in view.known_agents()
+        if vm.service in numbers
+    ]
--- a/libs/runtime/src/laburnumbridge/runtime/udp_socket.py
+++ b/libs/runtime/src/laburnumbridge/runtime/udp_socket.py
@@ -106,10 +106,22 @@
     def _read_errors(self) -> None:
         if self._socket is None or self._on_refused is None:
             return
+        refused = set()
         for _ in range(BATCH):
             try:
                 _, _, _, address = self._socket.recvmsg(0, _ERROR_BYTES, socket.MSG_ERRQUEUE)
             except OSError:
-                return
+                break
             if address:
-                self._on_refused(Endpoint(*address[:2]))
+                refused.add(Endpoint(*address[:2]))
+        self._rearm()
+        for endpoint in refused:
+            self._on_refused(endpoint)
+
+    def _rearm(self) -> None:
+        """Watch the socket again: libuv stops to poll a descriptor that reports an error."""
+        if self._socket is None:
+            return
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._socket.fileno())
+        loop.add_reader(self._socket.fileno(), self._read_batch)
--- a/libs/settings/src/laburnumbridge/settings/agent_settings.py
+++ b/libs/settings/src/laburnumbridge/settings/agent_settings.py
@@ -9,7 +9,10 @@
 
 
 class AgentSettings(ProcessSettings):
-    """``guest_tls`` is the certificate that guests see; it is that of the service."""
+    """``guest_tls`` is the certificate that guests see; it is that of the service.
+
+    ``health_path`` is the upstream's health endpoint, a hint that is asked once a second.
+    """
 
     number: int = Field(ge=1, lt=1 << 24)
     service: str = Field(min_length=1)
@@ -17,3 +20,4 @@
     slots: int = Field(ge=1)
     connections: int = Field(ge=1)
     guest_tls: TlsFiles
+    health_path: str | None = Field(default=None, pattern=r"^/")
--- a/libs/settings/src/laburnumbridge/settings/process_settings.py
+++ b/libs/settings/src/laburnumbridge/settings/process_settings.py
@@ -25,13 +25,28 @@
 
     certificate: Path
     private_key: Path
-    authority: Path | None = None
+
+
+class MutualTlsFiles(TlsFiles):
+    """PEM files for both directions; ``authority`` signs the certificates of all processes."""
+
+    authority: Path
+
+
+class ControlKey(SettingsModel):
+    """A key that seals control datagrams: 32 bytes in hex; exactly one is current."""
+
+    number: int = Field(ge=0, le=255)
+    secret: Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{64}$")]
+    current: bool = False
 
 
 class ProcessSettings(SettingsModel):
     """Who a process is and how it reaches the platform and its peers.
 
-    ``link_key`` authenticates datagrams between own processes (16 bytes in hex).
+    ``link_key`` authenticates the guests' datagrams between own processes (16 bytes in hex),
+    ``control_keys`` seal the control datagrams and ``control_tls`` protects gRPC calls.
+    ``expected_processes`` sizes the jitter of a start until the fleet is known.
     """
 
     name: str = Field(min_length=1)
@@ -42,5 +57,7 @@
     control_address: Address
     metrics_address: Address | None = None
     link_key: HexKey
-    control_tls: TlsFiles | None = None
+    control_keys: tuple[ControlKey, ...] = Field(min_length=1)
+    control_tls: MutualTlsFiles
+    expected_processes: int = Field(default=100, ge=1)
     log_level: str = Field(default="info", pattern=r"^(debug|info|warning|error)$")
--- a/libs/standins/src/laburnumbridge/standins/guest.py
+++ b/libs/standins/src/laburnumbridge/standins/guest.py
@@ -64,14 +64,14 @@
 
 
 class _GuestHttp(H3Connection):
-    """Notes GOAWAY, which aioquic's client ignores."""
+    """Notes GOAWAY, whose payload aioquic discards without a callback."""
 
     goaway_received = False
 
-    def _handle_control_frame(self, frame_type: int, frame_data: bytes) -> None:
+    def _check_control_frame_type(self, frame_type: int) -> None:
+        super()._check_control_frame_type(frame_type)
         if frame_type == FrameType.GOAWAY:
             self.goaway_received = True
-        super()._handle_control_frame(frame_type, frame_data)
 
 
 class GuestFlow(QuicConnectionProtocol):
--- a/libs/standins/src/laburnumbridge/standins/harness.py
+++ b/libs/standins/src/laburnumbridge/standins/harness.py
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+CONTROL_KEY = "5a" * 32
+CONTROL_NAME = "laburnumbridge"
 LINK_KEY = "00112233445566778899aabbccddeeff"
 ROUTING_KEY = "0f1e2d3c4b5a69788796a5b4c3d2e1f0"
 DATAGRAM_PORT = 4700
@@ -100,6 +102,7 @@
         self._http = aiohttp.ClientSession()
         self._authority.write_root(self.root_certificate)
         self._authority.issue(SERVER_NAME, addresses=[], folder=self._folder)
+        self._authority.issue(CONTROL_NAME, addresses=[], folder=self._folder)
         self._lay_out()
         self._build_lists()
         self._start_support()
@@ -286,6 +289,13 @@
             "address": f"{machine.host}:{DATAGRAM_PORT}",
             "control_address": f"{machine.host}:{CONTROL_PORT}",
             "link_key": LINK_KEY,
+            "control_keys": [{"number": 1, "secret": CONTROL_KEY, "current": True}],
+            "control_tls": {
+                "certificate": str(self._folder / f"{CONTROL_NAME}.pem"),
+                "private_key": str(self._folder / f"{CONTROL_NAME}.key"),
+                "authority": str(self.root_certificate),
+            },
+            "expected_processes": len(self.machines_by_name),
         }
 
     def _balancer_settings(self, machine: Machine) -> dict[str, object]:
--- a/libs/telemetry/src/laburnumbridge/telemetry/event.py
+++ b/libs/telemetry/src/laburnumbridge/telemetry/event.py
@@ -20,6 +20,7 @@
     LIST_REJECTED = (202, "error", "A version of a list is not valid; the one in force stays.")
     LIST_OLDER_IGNORED = (203, "warning", "An older version was offered and ignored.")
     PLATFORM_UNAVAILABLE = (204, "warning", "The platform can't be read; versions stay in force.")
+    LIST_CONFLICT = (206, "error", "Two contents were seen under one version; ours stays.")
     PLATFORM_AVAILABLE = (205, "info", "The platform can be read again.")
     MEMBER_CHANGED = (301, "info", "The state of a process has changed in this view.")
     PANIC_THRESHOLD = (302, "warning", "Too much seems dead at once; nothing is evicted.")
@@ -33,6 +34,7 @@
     REQUEST_RETRIED = (502, "info", "A request is tried on another upstream.")
     OUTCOME_UNKNOWN = (503, "warning", "An upstream was lost while a request ran.")
     ANSWER_CUT = (504, "warning", "An answer was cut; the guest's stream was reset.")
+    REQUEST_ANSWERED = (506, "debug", "A request was answered.")
     UPSTREAM_SHED = (505, "info", "The upstream sheds load; fewer slots are used for a while.")
 
     def __init__(self, number: int, level: str, description: str) -> None:
