--- a/libs/standins/src/laburnumbridge/standins/benchmarks/limits.py
+++ b/libs/standins/src/laburnumbridge/standins/benchmarks/limits.py
@@ -82,6 +82,11 @@
     return 0.8
 
 
+def quiet(now: float) -> float:
+    """Offer far less than the limit, for the messages of an ordinary plan."""
+    return 0.3
+
+
 def above(now: float) -> float:
     """Offer more than the limit throughout; every admission above the limit shows."""
     return 1.25
@@ -105,6 +110,7 @@
             )
             for agents in (3, 50)
         ),
+        Scenario(name=f"{unit} quiet 50", agents=50, rate=rate, load=quiet),
         *(
             Scenario(
                 name=f"{unit} {fault} 50",
