Return unused credit of a tight plan sooner

Cause: at demand that moves, up to 0.64 % of admissions were refused while 2.2 % of the limit was on its way between agents. Change: rate slices of 2 ms, a return delay of 0.5 ms, asks of a tight plan every 8 ms.

--- a/libs/limits/src/laburnumbridge/limits/plan_lease.py
+++ b/libs/limits/src/laburnumbridge/limits/plan_lease.py
@@ -37,7 +37,7 @@
     from laburnumbridge.limits.plan_limits import PlanLimits
 
 # Asks of a tight plan are spaced further apart, because each waits for returns at the holder.
-TIGHT_ASK_INTERVAL_S = 0.012
+TIGHT_ASK_INTERVAL_S = 0.008
 # Pending admissions are asked for again, in case the answer to an earlier report was lost.
 REASK_S = 0.02
 # Reports that only renew the reserve are spaced by this.
--- a/libs/limits/src/laburnumbridge/limits/timing.py
+++ b/libs/limits/src/laburnumbridge/limits/timing.py
@@ -20,7 +20,7 @@
 RETRY_S = 0.012
 # Unused credit is kept this long while the plan is tight. At 50 agents and work of 0.5 s, 4 ms
 # left up to 3.4 % of the limit unused on its way.
-RETURN_DELAY_S = 0.001
+RETURN_DELAY_S = 0.0005
 # Time for a recall: a round trip, the return delay and the retry of a lost return. An agent is
 # denied with the next credit that is handed out after this, when the least credit is on its way.
 DENY_AFTER_S = 0.018
@@ -30,5 +30,5 @@
 TIGHT_S = 1.5
 # The period over which a rate is limited.
 RATE_WINDOW_S = 1.0
-# Uses of one slice are released together; half a slice is 0.25 % of the window.
-RATE_SLICE_S = 0.005
+# Uses of one slice are released together; half a slice is 0.1 % of the window.
+RATE_SLICE_S = 0.002
