--- a/libs/limits/src/laburnumbridge/limits/holder_directory.py
+++ b/libs/limits/src/laburnumbridge/limits/holder_directory.py
@@ -10,12 +10,17 @@
     from laburnumbridge.core import PlanName
     from laburnumbridge.core import ProcessId
 
+# With more agents added at once, holders are forgotten and hashed again when asked for: the
+# plans that are idle need none.
+MOST_ADDED = 64
+
 
 class HolderDirectory:
     """Finds holders by rendezvous hashing over the reachable agents.
 
     Only plans that were asked for are remembered. After a change a holder is hashed against
-    the added agents alone, unless it was removed itself.
+    the added agents alone, unless it was removed itself: the time to hash all agents grows with
+    the fleet.
     """
 
     def __init__(self) -> None:
@@ -26,6 +31,8 @@
         """Replace the reachable agents."""
         added = agents - self._agents
         self._agents = agents
+        if len(added) > MOST_ADDED:
+            self._holder_by_plan.clear()
         for plan, holder in self._holder_by_plan.items():
             if holder is None or holder not in agents:
                 self._holder_by_plan[plan] = self._winner(plan, agents)
@@ -38,10 +45,6 @@
             self._holder_by_plan[plan] = self._winner(plan, self._agents)
         return self._holder_by_plan[plan]
 
-    def forget(self, plan: PlanName) -> None:
-        """Drop what is remembered of a plan."""
-        self._holder_by_plan.pop(plan, None)
-
     @staticmethod
     def _winner(plan: PlanName, agents: frozenset[ProcessId]) -> ProcessId | None:
         return rendezvous_winner(b"plan:" + plan.encode(), agents)  # type: ignore[return-value]
--- a/libs/limits/src/laburnumbridge/limits/lease_client.py
+++ b/libs/limits/src/laburnumbridge/limits/lease_client.py
@@ -31,7 +31,8 @@
 class LeaseClient:
     """Admits and refuses work of all plans from leases of credit.
 
-    A plan without demand, open work or credit has no state here and causes no message.
+    A plan without demand, open work or credit causes no message, and only the name of its holder
+    is remembered.
     """
 
     def __init__(self, *, agent: ProcessId, incarnation: Incarnation) -> None:
@@ -110,7 +111,6 @@
             self._sequence += 1
         if lease.finished:
             del self._lease_by_plan[plan]
-            self._directory.forget(plan)
         return actions
 
     def _settle_all(self, now: float) -> list[ClientAction]:
@@ -137,7 +137,6 @@
         if query.plan in self._lease_by_plan:
             self._lease_by_plan[query.plan].ask_report()
             return self._settle(query.plan, now)
-        self._directory.forget(query.plan)
         self._sequence += 1
         report = Report(
             plan=query.plan,
--- a/libs/limits/tests/test_lease_client.py
+++ b/libs/limits/tests/test_lease_client.py
@@ -282,7 +282,7 @@
         # Guards against agents that follow different holders with the same view.
         kept = HolderDirectory()
         plans = [PlanName(f"plan-{n}") for n in range(20)]
-        for first, last in ((0, 9), (3, 12), (5, 6), (0, 20), (20, 21), (0, 0), (1, 8)):
+        for first, last in ((0, 9), (3, 12), (5, 6), (0, 20), (0, 200), (20, 21), (0, 0), (1, 8)):
             agents = frozenset(ProcessId(f"agent-{n}") for n in range(first, last))
             fresh = HolderDirectory()
             kept.replace_agents(agents)
