Keep an idle plan until the holder has confirmed the end of its last use

Cause: the last report of a plan was sent once; lost, the holder counted the last use until the agent was no longer listed. Change: a plan is dropped after the confirmation; reserves need demand.

--- a/libs/limits/src/laburnumbridge/limits/messages.py
+++ b/libs/limits/src/laburnumbridge/limits/messages.py
@@ -33,7 +33,7 @@
 
     ``sequence`` rises with every report of the agent's incarnation. ``applied_incarnation`` and
     ``applied_sequence`` name the last grant of the addressed holder that the agent applied (0
-    for none). ``lines_by_kind`` is empty when the agent holds and uses nothing.
+    for none). ``lines_by_kind`` is empty when the agent has no state of the plan.
     """
 
     plan: PlanName
--- a/libs/limits/src/laburnumbridge/limits/plan_lease.py
+++ b/libs/limits/src/laburnumbridge/limits/plan_lease.py
@@ -74,7 +74,7 @@
 
     @property
     def finished(self) -> bool:
-        """True when the plan holds and uses nothing here and the holder was told."""
+        """True when the plan holds and uses nothing here and the holder has confirmed it."""
         return self._finished
 
     def set_limits(self, limits: PlanLimits | None, list_version: int) -> None:
@@ -179,8 +179,7 @@
         if self._holder is not None and now >= report_at:
             actions.append(self._report(self._holder, next_sequence, now))
             report_at = self._report_at(now)
-        if not self._limited:
-            self._finished = not self._demanded(now) and not any(self._open_levels())
+        self._finished = self._has_ended(now)
         self._due_at = self._next_due(report_at, now)
         return actions
 
@@ -285,6 +284,8 @@
         return min(due)
 
     def _runs_low(self, line: CreditLine, now: float) -> bool:
+        if not self._demanded(now):
+            return False
         wanted = line.wanted(now, ahead=True)
         return wanted > line.share and 2 * (line.share - line.used(now)) < wanted - line.used(now)
 
@@ -299,17 +300,21 @@
     def _demanded(self, now: float) -> bool:
         return now - self._demand_at <= TERM_S
 
+    def _has_ended(self, now: float) -> bool:
+        if self._demanded(now) or any(self._open_levels()):
+            return False
+        # The holder would count the last use for ever if the report of its end were lost.
+        return all(line.counted == 0 and line.needed(now) == 0 for line in self._limited) and (
+            self._log.retry_at() is None
+        )
+
     def _resting(self, now: float) -> bool:
         if self._demanded(now) or not any(self._open_levels()):
             return False
         return all(line.counted <= line.needed(now) for line in self._limited)
 
     def _report(self, holder: ProcessId, sequence: int, now: float) -> SendReport:
-        demanded = self._demanded(now)
         lines = {line.kind: self._report_line(line, now) for line in self._limited}
-        if not demanded and all(line.wanted == 0 for line in lines.values()):
-            lines = {}
-            self._finished = not any(self._open_levels())
         for queue in self._queue_by_work.values():
             queue.mark_asked(sequence)
         self._log.sent(sequence, now)
