--- a/libs/runtime/src/laburnumbridge/runtime/lease_driver.py
+++ b/libs/runtime/src/laburnumbridge/runtime/lease_driver.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from laburnumbridge.core import Incarnation
 from laburnumbridge.core import PlanName
 from laburnumbridge.limits import TICK_S
 from laburnumbridge.limits import AdmissionCancelled
@@ -13,6 +14,7 @@
 from laburnumbridge.limits import FleetChanged
 from laburnumbridge.limits import Grant
 from laburnumbridge.limits import GrantReceived
+from laburnumbridge.limits import HolderDirectory
 from laburnumbridge.limits import LeaseClient
 from laburnumbridge.limits import LeaseHolder
 from laburnumbridge.limits import PlanLimits
@@ -27,12 +29,10 @@
 from laburnumbridge.limits import Tick
 from laburnumbridge.limits import WorkEnded
 from laburnumbridge.runtime.message_kinds import MessageKind
-from laburnumbridge.runtime.timer import PeriodicTimer
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from laburnumbridge.core import Incarnation
     from laburnumbridge.core import ProcessId
     from laburnumbridge.core import Refusal
     from laburnumbridge.core import RequestId
@@ -42,8 +42,8 @@
     from laburnumbridge.lists import PlanList
     from laburnumbridge.runtime.control_link import ControlLink
 
-# A holder without agents keeps nothing of value; it is made again on the next report.
-IDLE_HOLDER_TICKS = 1000
+# A timer that is due at once still leaves other work its turn.
+MIN_DELAY_S = 0.001
 
 
 class LeaseDriver:
@@ -54,12 +54,14 @@
         self._incarnation = incarnation
         self._link = link
         self._client = LeaseClient(agent=own, incarnation=incarnation)
+        self._directory = HolderDirectory()
         self._holder_by_plan: dict[PlanName, LeaseHolder] = {}
-        self._idle_ticks_by_plan: dict[PlanName, int] = {}
+        self._holders_made = 0
         self._waiting_by_id: dict[RequestId, asyncio.Future[Refusal | None]] = {}
         self._plans: PlansChanged | None = None
         self._fleet = FleetChanged(frozenset(), frozenset())
-        self._timer = PeriodicTimer(interval_s=TICK_S, callback=self._tick)
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_started = False
         link.register(MessageKind.LEASE_REPORT, Report, self._on_report)
         link.register(MessageKind.LEASE_GRANT, Grant, self._on_grant)
         link.register(MessageKind.LEASE_QUERY, Query, self._on_query)
@@ -71,11 +73,14 @@
 
     def start(self) -> None:
         """Begin to tick."""
-        self._timer.start()
+        self._is_started = True
+        self._schedule()
 
     def close(self) -> None:
         """Stop; leases end by their term."""
-        self._timer.close()
+        self._is_started = False
+        if self._timer is not None:
+            self._timer.cancel()
 
     def set_plans(self, version: int, plans: PlanList) -> None:
         """Put a version of the plans in force."""
@@ -98,6 +103,10 @@
     def set_fleet(self, *, listed: Iterable[ProcessId], reachable: Iterable[ProcessId]) -> None:
         """Replace the agents that the platform lists and those that can be reached."""
         self._fleet = FleetChanged(frozenset(listed), frozenset(reachable))
+        self._directory.replace_agents(self._fleet.reachable)
+        for plan in list(self._holder_by_plan):
+            if self._directory.holder(plan) != self._own:
+                del self._holder_by_plan[plan]
         self._run_client(self._client.handle(self._fleet, self._now()))
         for holder in self._holder_by_plan.values():
             self._run_holder(holder.handle(self._fleet, self._now()))
@@ -132,9 +141,10 @@
 
     def _on_report(self, sender: ProcessId, report: Report) -> None:
         # A message speaks for its sender alone; the seal proves who that is.
-        if report.agent == sender:
-            holder = self._holder(report.plan)
-            self._run_holder(holder.handle(ReportReceived(report), self._now()))
+        if report.agent != sender or self._directory.holder(report.plan) != self._own:
+            return
+        holder = self._holder(report.plan)
+        self._run_holder(holder.handle(ReportReceived(report), self._now()))
 
     def _on_grant(self, sender: ProcessId, grant: Grant) -> None:
         if grant.holder == sender:
@@ -147,23 +157,35 @@
     def _holder(self, plan: PlanName) -> LeaseHolder:
         holder = self._holder_by_plan.get(plan)
         if holder is None:
-            holder = LeaseHolder(plan=plan, holder=self._own, incarnation=self._incarnation)
+            # Agents ignore grants of an earlier holder, so each one made here counts as newer.
+            self._holders_made += 1
+            incarnation = Incarnation(self._incarnation + self._holders_made)
+            holder = LeaseHolder(plan=plan, holder=self._own, incarnation=incarnation)
             self._holder_by_plan[plan] = holder
-            self._run_holder(holder.handle(self._fleet, self._now()))
             if self._plans is not None:
                 self._run_holder(holder.handle(self._plans, self._now()))
+            self._run_holder(holder.handle(self._fleet, self._now()))
         return holder
 
     def _tick(self) -> None:
         now = self._now()
         self._run_client(self._client.handle(Tick(), now))
-        for plan, holder in list(self._holder_by_plan.items()):
+        for holder in list(self._holder_by_plan.values()):
             self._run_holder(holder.handle(Tick(), now))
-            idle = 0 if holder.agents_held else self._idle_ticks_by_plan.get(plan, 0) + 1
-            self._idle_ticks_by_plan[plan] = idle
-            if idle > IDLE_HOLDER_TICKS:
-                del self._holder_by_plan[plan]
-                del self._idle_ticks_by_plan[plan]
+
+    def _schedule(self) -> None:
+        """Wait for the earliest tick that is due; TICK_S at the longest, to notice a pause."""
+        if not self._is_started:
+            return
+        now = self._now()
+        due = [now + TICK_S, *(holder.next_due(now) for holder in self._holder_by_plan.values())]
+        client_due = self._client.next_due()
+        if client_due is not None:
+            due.append(client_due)
+        if self._timer is not None:
+            self._timer.cancel()
+        at = max(min(due), now + MIN_DELAY_S)
+        self._timer = asyncio.get_running_loop().call_at(at, self._tick)
 
     def _run_client(self, actions: list[ClientAction]) -> None:
         for action in actions:
@@ -174,6 +196,7 @@
                     self._settle(request_id, refusal)
                 case SendReport(destination, report):
                     self._link.send(destination, report)
+        self._schedule()
 
     def _settle(self, request_id: RequestId, refusal: Refusal | None) -> None:
         future = self._waiting_by_id.get(request_id)
@@ -181,6 +204,7 @@
             future.set_result(refusal)
 
     def _run_holder(self, actions: list[HolderAction]) -> None:
+        self._schedule()
         for action in actions:
             if isinstance(action, SendGrant):
                 self._link.send(action.destination, action.grant)
