--- a/libs/wire/tests/test_mutual_tls.py
+++ b/libs/wire/tests/test_mutual_tls.py
@@ -78,12 +78,12 @@
         self.started = asyncio.Event()
         self.released = asyncio.Event()
 
-    async def Lease(self, request, context):  # noqa: N802
-        self.payloads.append(request.payload)
-        if request.payload == b"slow":
+    async def Explain(self, request, context):  # noqa: N802
+        self.payloads.append(request.identifier.encode())
+        if request.identifier == "slow":
             self.started.set()
             await self.released.wait()
-        return control_pb2.LeaseResponse(payload=request.payload)
+        return control_pb2.JsonResponse(json=request.identifier.encode())
 
 
 class Link:
@@ -97,10 +97,10 @@
         port = self.server.add_secure_port("127.0.0.1:0", self.certificates.credentials())
         self.endpoint = Endpoint("127.0.0.1", port)
 
-    async def lease(self, pool: ChannelPool, payload: bytes = b"x") -> bytes:
+    async def call(self, pool: ChannelPool, payload: bytes = b"x") -> bytes:
         stub = control_pb2_grpc.ControlStub(pool.channel(self.endpoint))
-        answer = await stub.Lease(control_pb2.LeaseRequest(payload=payload))
-        return answer.payload
+        answer = await stub.Explain(control_pb2.ExplainRequest(identifier=payload.decode()))
+        return answer.json
 
 
 @pytest.fixture
@@ -114,7 +114,7 @@
 class TestMutualTls:
     async def test_peer_of_the_same_authority_is_served(self, link: Link) -> None:
         pool = ChannelPool(source=FakeCertificateSource(link.authority.issue()))
-        assert await link.lease(pool) == b"x"
+        assert await link.call(pool) == b"x"
         await pool.close()
 
     @pytest.mark.parametrize("trusting", [False, True])
@@ -127,7 +127,7 @@
         bad = Certificates(roots, stranger.chain, stranger.private_key)
         pool = ChannelPool(source=FakeCertificateSource(bad))
         with pytest.raises(grpc.aio.AioRpcError):
-            await link.lease(pool)
+            await link.call(pool)
         assert link.control.payloads == []
         await pool.close()
 
@@ -135,7 +135,7 @@
         link.source.certificates = link.authority.issue("elsewhere")
         pool = ChannelPool(source=FakeCertificateSource(link.authority.issue()))
         with pytest.raises(grpc.aio.AioRpcError):
-            await link.lease(pool)
+            await link.call(pool)
         assert link.control.payloads == []
         await pool.close()
 
@@ -144,14 +144,14 @@
     ) -> None:
         client_source = FakeCertificateSource(link.authority.issue())
         pool = ChannelPool(source=client_source)
-        slow = asyncio.ensure_future(link.lease(pool, b"slow"))
+        slow = asyncio.ensure_future(link.call(pool, b"slow"))
         await link.control.started.wait()
         successor = Authority()
         link.source.certificates = successor.issue()
         client_source.certificates = successor.issue()
         reload = asyncio.ensure_future(pool.reload())
         await asyncio.sleep(0)
-        assert await link.lease(pool, b"new") == b"new"
+        assert await link.call(pool, b"new") == b"new"
         assert link.certificates.reloads == 1
         link.control.released.set()
         assert await slow == b"slow"
@@ -164,7 +164,7 @@
         link.source.certificates = None
         client_source.certificates = None
         assert await pool.reload() is False
-        assert await link.lease(pool) == b"x"
+        assert await link.call(pool) == b"x"
         assert (pool.failed_reloads, link.certificates.failed_reloads) == (1, 1)
         await pool.close()
 
