Add the membership state machines

The platform's list of VMs lags, so balancers learned of a dead agent only from it. A life is the incarnation with a count of refutations, because routing takes a higher incarnation for a new process.

--- /dev/null
+++ b/libs/membership/src/laburnumbridge/membership/gossip_queue.py
@@ -0,0 +1,107 @@
+"""Records that wait to be spread, on a byte budget."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from laburnumbridge.membership.claim import Claim
+from laburnumbridge.membership.messages import DATAGRAM_OVERHEAD_BYTES
+from laburnumbridge.membership.messages import Gossip
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from laburnumbridge.core import ProcessId
+    from laburnumbridge.membership.liveness_record import LivenessRecord
+
+# 27 KB/s is the budget for all control traffic of a node; probes and load reports share it.
+GOSSIP_BYTES_PER_S = 12_000.0
+# Fits the smallest usual MTU after encapsulation.
+MAX_PAYLOAD_BYTES = 1_100
+# Each record goes to `GOSSIP_FANOUT` peers in each of `GOSSIP_ROUNDS` rounds: a share of e^-8
+# of the peers misses it, and synchronisation reaches those.
+GOSSIP_FANOUT = 4
+GOSSIP_ROUNDS = 2
+# Shares of the burst (one second of budget) that less urgent datagrams leave untouched. Without
+# them synchronisation after a mass restart delayed a confirmed death by half a second.
+URGENT_RESERVE = 0.0
+ORDINARY_RESERVE = 0.25
+SYNC_RESERVE = 0.5
+# Above a whole fleet of records the oldest are left to synchronisation.
+MAX_QUEUED = 10_000
+
+_URGENCY = {Claim.DEAD: 0, Claim.ALIVE: 1, Claim.LEAVING: 1, Claim.SUSPECT: 2}
+
+
+def reserve_for(records: Iterable[LivenessRecord]) -> float:
+    """Return the reserve that a datagram with ``records`` leaves untouched."""
+    urgent = any(record.claim is Claim.DEAD for record in records)
+    return URGENT_RESERVE if urgent else ORDINARY_RESERVE
+
+
+class GossipQueue:
+    """Holds at most one record a subject and hands out datagrams within a byte rate."""
+
+    def __init__(self, *, bytes_per_s: float = GOSSIP_BYTES_PER_S) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._credit = bytes_per_s
+        self._refilled_at: float | None = None
+        self._rounds_by_subject: dict[ProcessId, int] = {}
+        self._record_by_subject: dict[ProcessId, LivenessRecord] = {}
+
+    def __len__(self) -> int:
+        return len(self._record_by_subject)
+
+    def add(self, record: LivenessRecord) -> None:
+        """Queue a record; it replaces an older one about the same subject."""
+        self._drop(record.subject)
+        if len(self) >= MAX_QUEUED:
+            self._drop(next(iter(self._record_by_subject)))
+        self._record_by_subject[record.subject] = record
+        self._rounds_by_subject[record.subject] = GOSSIP_ROUNDS
+
+    def spend(self, payload_bytes: int, now: float, *, reserve: float) -> bool:
+        """Take a datagram out of the budget; False where only ``reserve`` of the burst is left."""
+        if self._refilled_at is not None:
+            self._credit += (now - self._refilled_at) * self._bytes_per_s
+            self._credit = min(self._credit, self._bytes_per_s)
+        self._refilled_at = now
+        cost = payload_bytes + DATAGRAM_OVERHEAD_BYTES
+        if cost > self._credit - reserve * self._bytes_per_s:
+            return False
+        self._credit -= cost
+        return True
+
+    def next_round(self, peers: Sequence[ProcessId], now: float) -> list[tuple[ProcessId, Gossip]]:
+        """Return one datagram for each peer that the budget allows, urgent records first."""
+        if not self._record_by_subject or not peers:
+            return []
+        message = Gossip(self._select())
+        size = message.size_bytes()
+        reserve = reserve_for(message.records)
+        sent = [(peer, message) for peer in peers if self.spend(size, now, reserve=reserve)]
+        if len(sent) == len(peers):
+            self._count_round(message.records)
+        return sent
+
+    def _select(self) -> tuple[LivenessRecord, ...]:
+        ordered = sorted(self._record_by_subject.values(), key=lambda r: _URGENCY[r.claim])
+        chosen = []
+        room = MAX_PAYLOAD_BYTES
+        for record in ordered:
+            room -= record.size_bytes()
+            if room < 0:
+                break
+            chosen.append(record)
+        return tuple(chosen)
+
+    def _count_round(self, records: tuple[LivenessRecord, ...]) -> None:
+        for record in records:
+            self._rounds_by_subject[record.subject] -= 1
+            if self._rounds_by_subject[record.subject] == 0:
+                self._drop(record.subject)
+
+    def _drop(self, subject: ProcessId) -> None:
+        self._record_by_subject.pop(subject, None)
+        self._rounds_by_subject.pop(subject, None)
--- /dev/null
+++ b/libs/membership/src/laburnumbridge/membership/life.py
@@ -0,0 +1,20 @@
+"""The part of a record that decides which of two is newer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+if TYPE_CHECKING:
+    from laburnumbridge.core import Incarnation
+
+
+class Life(NamedTuple):
+    """Start of a process (``incarnation``) and how often it has refuted an accusation since.
+
+    Routing tokens hold the incarnation alone. A refutation that raised it would make balancers
+    treat the open flows of the accused agent as flows of an earlier process and reset them.
+    """
+
+    incarnation: Incarnation
+    refutation: int = 0
--- /dev/null
+++ b/libs/membership/src/laburnumbridge/membership/suspicion.py
@@ -0,0 +1,19 @@
+"""A process that this observer can't reach."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from laburnumbridge.core import ProcessId
+    from laburnumbridge.membership.life import Life
+
+
+@dataclass(slots=True, kw_only=True)
+class Suspicion:
+    """Own suspicion of ``life``; a verdict is possible from ``deadline`` on."""
+
+    life: Life
+    deadline: float
+    confirmers: set[ProcessId]
