--- a/libs/membership/src/laburnumbridge/membership/detector.py
+++ b/libs/membership/src/laburnumbridge/membership/detector.py
@@ -229,6 +229,8 @@
                 self._dissemination.learned(record)
                 if record.claim is Claim.SUSPECT:
                     self._prober.hasten(record.subject, now)
+            elif self.view.hold_suspect(record, now):
+                self._dissemination.learned(record)
             self._suspicions.observe(record)
         return actions
 
@@ -269,8 +271,9 @@
             return []
         life = self._life_of(target)
         self._suspicions.begin(target, life, confirmers, now, self._health.multiplier)
-        self.view.hold_suspect(target, now)
         record = LivenessRecord(target, Claim.SUSPECT, life, self._local.process_id)
+        if self.view.hold_suspect(record, now):
+            self._dissemination.originate(record)
         return self._conclude(record, now)
 
     def _judge(self, now: float) -> list[Action]:
@@ -280,7 +283,7 @@
         if panic is not self._panic:
             self._panic = panic
             actions.append(PanicChanged(panic))
-        for target in self._suspicions.take_verdicts(now, panic):
+        for target in self._suspicions.take_verdicts(now, watched):
             record = LivenessRecord(
                 target, Claim.DEAD, self._life_of(target), self._local.process_id
             )
--- a/libs/membership/src/laburnumbridge/membership/dissemination.py
+++ b/libs/membership/src/laburnumbridge/membership/dissemination.py
@@ -114,9 +114,7 @@
             for relay in self._plan.relays(domain, self._local.process_id)[:1]
         ]
         peers = [relay for relay in relays if relay != self._local.process_id]
-        return [
-            SendMessage(p, message) for p in peers if self._queue.spend(message.size_bytes(), now)
-        ]
+        return [sent for peer in peers for sent in self._paid(peer, message, now)]
 
     def reply(self, source: ProcessId, request: SyncRequest, now: float) -> list[SendMessage]:
         """Answer a comparison."""
--- a/libs/membership/src/laburnumbridge/membership/gossip_queue.py
+++ b/libs/membership/src/laburnumbridge/membership/gossip_queue.py
@@ -23,10 +23,14 @@
 # of the peers misses it, and synchronisation reaches those.
 GOSSIP_FANOUT = 4
 GOSSIP_ROUNDS = 2
-# Shares of the burst (one second of budget) that less urgent datagrams leave untouched. Without
-# them synchronisation after a mass restart delayed a confirmed death by half a second.
+# The burst adds to the rate in the first second after a heal. It must hold a full round, above
+# the reserve for urgent records, whatever the rate.
+BURST_S = 0.5
+MIN_BURST_BYTES = 6_000.0
+# Shares of the burst that less urgent datagrams leave untouched. Without them synchronisation
+# after a mass restart delayed a confirmed death by half a second.
 URGENT_RESERVE = 0.0
-ORDINARY_RESERVE = 0.25
+ORDINARY_RESERVE = 0.1
 SYNC_RESERVE = 0.5
 # Above a whole fleet of records the oldest are left to synchronisation.
 MAX_QUEUED = 10_000
@@ -45,7 +49,8 @@
 
     def __init__(self, *, bytes_per_s: float = GOSSIP_BYTES_PER_S) -> None:
         self._bytes_per_s = bytes_per_s
-        self._credit = bytes_per_s
+        self._burst_bytes = max(bytes_per_s * BURST_S, MIN_BURST_BYTES)
+        self._credit = self._burst_bytes
         self._refilled_at: float | None = None
         self._rounds_by_subject: dict[ProcessId, int] = {}
         self._record_by_subject: dict[ProcessId, LivenessRecord] = {}
@@ -61,29 +66,29 @@
         self._record_by_subject[record.subject] = record
         self._rounds_by_subject[record.subject] = GOSSIP_ROUNDS
 
-    def spend(self, payload_bytes: int, now: float, *, reserve: float) -> bool:
-        """Take a datagram out of the budget; False where only ``reserve`` of the burst is left."""
+    def spend(self, payload_bytes: int, now: float, *, reserve: float, datagrams: int = 1) -> bool:
+        """Take datagrams out of the budget; False where they would touch the ``reserve``."""
         if self._refilled_at is not None:
             self._credit += (now - self._refilled_at) * self._bytes_per_s
-            self._credit = min(self._credit, self._bytes_per_s)
+            self._credit = min(self._credit, self._burst_bytes)
         self._refilled_at = now
-        cost = payload_bytes + DATAGRAM_OVERHEAD_BYTES
-        if cost > self._credit - reserve * self._bytes_per_s:
+        cost = datagrams * (payload_bytes + DATAGRAM_OVERHEAD_BYTES)
+        if cost > self._credit - reserve * self._burst_bytes:
             return False
         self._credit -= cost
         return True
 
     def next_round(self, peers: Sequence[ProcessId], now: float) -> list[tuple[ProcessId, Gossip]]:
-        """Return one datagram for each peer that the budget allows, urgent records first."""
+        """Return a datagram for each peer, urgent records first, if the budget allows it."""
         if not self._record_by_subject or not peers:
             return []
         message = Gossip(self._select())
-        size = message.size_bytes()
         reserve = reserve_for(message.records)
-        sent = [(peer, message) for peer in peers if self.spend(size, now, reserve=reserve)]
-        if len(sent) == len(peers):
-            self._count_round(message.records)
-        return sent
+        # All peers or none: a round that reached some would have to be repeated in full.
+        if not self.spend(message.size_bytes(), now, reserve=reserve, datagrams=len(peers)):
+            return []
+        self._count_round(message.records)
+        return [(peer, message) for peer in peers]
 
     def _select(self) -> tuple[LivenessRecord, ...]:
         ordered = sorted(self._record_by_subject.values(), key=lambda r: _URGENCY[r.claim])
--- a/libs/membership/src/laburnumbridge/membership/membership_view.py
+++ b/libs/membership/src/laburnumbridge/membership/membership_view.py
@@ -27,8 +27,10 @@
 # Longer than any open flow waits for a reset: idle flows end after 9 s, the list lags by 30 s.
 TOMBSTONE_S = 600.0
 MAX_TOMBSTONES = 20_000
-# A suspicion that nobody confirms or repeats within this time is dropped.
-SUSPECT_HOLD_S = 15.0
+# A suspicion that nobody repeats within this time is dropped. Observers repeat it every
+# `SUSPECT_REPEAT_S`: more often, 3,700 suspects of a cut region would not fit the byte budget.
+SUSPECT_HOLD_S = 300.0
+SUSPECT_REPEAT_S = 120.0
 # Records about processes that the lagging list doesn't hold yet.
 MAX_UNLISTED_RECORDS = 1_024
 
@@ -198,10 +200,16 @@
         self._count(member.failure_domain, before[0], after[0])
         return [self._change(subject)] if before != after else []
 
-    def hold_suspect(self, process_id: ProcessId, now: float) -> None:
-        """Keep a suspicion that has been repeated."""
-        if process_id in self._suspect_until_by_id:
-            self._suspect_until_by_id[process_id] = now + SUSPECT_HOLD_S
+    def hold_suspect(self, record: LivenessRecord, now: float) -> bool:
+        """Keep a suspicion that is repeated; return whether it is time to spread it again."""
+        until = self._suspect_until_by_id.get(record.subject)
+        known = self._record_by_id.get(record.subject)
+        if until is None or known is None or known.precedence != record.precedence:
+            return False
+        if until - now > SUSPECT_HOLD_S - SUSPECT_REPEAT_S:
+            return False
+        self._suspect_until_by_id[record.subject] = now + SUSPECT_HOLD_S
+        return True
 
     def expire(self, now: float) -> list[StateChanged]:
         """Drop old tombstones and suspicions that nobody has repeated."""
--- a/libs/membership/src/laburnumbridge/membership/suspicion_table.py
+++ b/libs/membership/src/laburnumbridge/membership/suspicion_table.py
@@ -83,25 +83,32 @@
             suspicion.confirmers.add(record.observer)
 
     def in_panic(self, watched: Sequence[ProcessId]) -> bool:
-        """True where half or more of the watched processes seem dead."""
+        """True where too many of the watched processes seem dead."""
         if not self._suspicion_by_target:
             return False
-        dead = [name for name in watched if self._view.state(name) is MemberState.DEAD]
-        impaired = len(self._suspicion_by_target.keys() | set(dead))
+        impaired = self._impaired(watched)
         return self._rule.watched_in_panic(impaired=impaired, watched=len(watched))
 
-    def take_verdicts(self, now: float, panic: bool) -> list[ProcessId]:
+    def take_verdicts(self, now: float, watched: Sequence[ProcessId]) -> list[ProcessId]:
         """Remove and return the processes whose death is confirmed."""
-        verdicts = []
+        verdicts: list[ProcessId] = []
+        if not self._suspicion_by_target:
+            return verdicts
+        panic = self.in_panic(watched)
+        half = self._rule.half_impaired(impaired=self._impaired(watched), watched=len(watched))
         for target in list(self._suspicion_by_target):
             if self._view.member(target) is None:
                 self.drop(target)
-            elif self._is_confirmed(target, now, panic):
+            elif self._is_confirmed(target, now, half, panic):
                 self.drop(target)
                 verdicts.append(target)
         return verdicts
 
-    def _is_confirmed(self, target: ProcessId, now: float, panic: bool) -> bool:
+    def _impaired(self, watched: Sequence[ProcessId]) -> int:
+        dead = [name for name in watched if self._view.state(name) is MemberState.DEAD]
+        return len(self._suspicion_by_target.keys() | set(dead))
+
+    def _is_confirmed(self, target: ProcessId, now: float, half: bool, panic: bool) -> bool:
         suspicion = self._suspicion_by_target[target]
         own = self._view.member(self._own_id)
         subject = self._view.member(target)
@@ -110,4 +117,6 @@
         others = suspicion.confirmers - {self._own_id, target}
         members = [m for m in map(self._view.member, others) if m is not None]
         panic = panic or self._rule.domain_in_panic(subject.failure_domain)
-        return self._rule.suffices(own=own, subject=subject, confirmers=members, panic=panic)
+        return self._rule.suffices(
+            own=own, subject=subject, confirmers=members, half=half, panic=panic
+        )
--- a/libs/membership/src/laburnumbridge/membership/watch_plan.py
+++ b/libs/membership/src/laburnumbridge/membership/watch_plan.py
@@ -33,6 +33,8 @@
 
     def __init__(self, *, view: MembershipView) -> None:
         self._view = view
+        self._pool: list[ProcessId] = []
+        self._pool_version: int | None = None
 
     def watched(self, own: Member) -> list[ProcessId]:
         """Return the processes that ``own`` probes."""
@@ -57,12 +59,15 @@
         siblings = view.listed(service=own.service)
         if len(siblings) >= MIN_SERVICE_GROUP:
             return siblings
-        return [
-            member.process_id
-            for member in view.members()
-            if member.service is not None
-            and len(view.listed(service=member.service)) < MIN_SERVICE_GROUP
-        ]
+        if self._pool_version != view.version:
+            self._pool_version = view.version
+            self._pool = [
+                member.process_id
+                for member in view.members()
+                if member.service is not None
+                and len(view.listed(service=member.service)) < MIN_SERVICE_GROUP
+            ]
+        return self._pool
 
     def relays(self, domain: FailureDomain, subject: ProcessId) -> list[ProcessId]:
         """Return the balancers of a failure domain that spread exceptions about ``subject``.
