Send refutations to failure domains that seem lost

After a heal two balancers of a small failure domain kept a refuted suspicion for more than 20 s: the subject still held all balancers of that domain for dead and found no relay there. Relays are now any listed balancers where none is live, and half of the synchronisations go to another failure domain for certain.

--- a/libs/membership/src/laburnumbridge/membership/dissemination.py
+++ b/libs/membership/src/laburnumbridge/membership/dissemination.py
@@ -201,9 +201,10 @@
         return [sent for peer in peers for sent in self._paid(peer, message, now)]
 
     def _sync_domain(self, own: Member) -> FailureDomain:
-        if self._choice.fraction() < 0.5:
+        others = [d for d in self._view.failure_domains() if d != own.failure_domain]
+        if not others or self._choice.fraction() < 0.5:
             return own.failure_domain
-        return self._choice.one_of(self._view.failure_domains())
+        return self._choice.one_of(others)
 
     def _paid(
         self, destination: ProcessId, message: SyncRequest | SyncReply, now: float
--- a/libs/membership/src/laburnumbridge/membership/watch_plan.py
+++ b/libs/membership/src/laburnumbridge/membership/watch_plan.py
@@ -73,10 +73,12 @@
         """Return the balancers of a failure domain that spread exceptions about ``subject``.
 
         Each subject has its own relays: with the same few for all, the loss of a failure domain
-        would bring 300 KB within two seconds to each of them.
+        would bring 300 KB within two seconds to each of them. Where all seem dead, as on the
+        other side of a partition, any will do: after the heal they must hear of refutations.
         """
         live = self._view.live(role=Role.BALANCER, failure_domain=domain)
-        return self._first(subject.encode(), live, RELAYS_PER_DOMAIN)
+        listed = self._view.listed(role=Role.BALANCER, failure_domain=domain)
+        return self._first(subject.encode(), live or listed, RELAYS_PER_DOMAIN)
 
     def homes(self, own: Member) -> list[ProcessId]:
         """Return the balancers of its failure domain that an agent asks for exceptions."""
