Do not declare a process dead that pauses after a lost ping

The time to a verdict ran from the first unanswered ping. Where that ping was lost before a pause of 2 s began, the verdict came up to 0.1 s before the pause ended.

With the old timeouts three cases of the new test fail; now 52 tests pass.

--- a/libs/membership/src/laburnumbridge/membership/prober.py
+++ b/libs/membership/src/laburnumbridge/membership/prober.py
@@ -28,12 +28,12 @@
     from laburnumbridge.membership.membership_view import MembershipView
 
 # An agent's loss must be told to guests within 3 s, and two siblings watch it at full size.
-AGENT_PROBE_INTERVAL_S = 0.5
+AGENT_PROBE_INTERVAL_S = 0.4
 BALANCER_PROBE_INTERVAL_S = 1.0
 # Often enough that a dead process refutes within seconds after a partition heals.
 DEAD_PROBE_INTERVAL_S = 5.0
 # A round trip takes 3 ms; the rest allows for a garbage collection or a busy VM.
-ACK_TIMEOUT_S = 0.25
+ACK_TIMEOUT_S = 0.15
 # The helper's own timeout. Its answer must be back before `INDIRECT_TIMEOUT_S`, else the observer
 # takes itself for slow; a tick may add 0.05 s at either end.
 HELPER_TIMEOUT_S = 0.2
--- a/libs/membership/src/laburnumbridge/membership/suspicion_table.py
+++ b/libs/membership/src/laburnumbridge/membership/suspicion_table.py
@@ -18,10 +18,11 @@
     from laburnumbridge.membership.membership_view import MembershipView
     from laburnumbridge.membership.panic_rule import PanicRule
 
-# With both probe timeouts this is 2.15 s from the first unanswered ping: a process that pauses
-# for 2 s is not declared dead, and 0.85 s of the 3 s remain for the wait for that ping
-# (up to 0.5 s), ticks and dissemination.
-SUSPICION_TIMEOUT_S = 1.6
+# With the timeout of the indirect probe this is 2.05 s from the question to the helpers: a process
+# that pauses for 2 s is not declared dead, even if the ping before the pause was lost. From the
+# first unanswered ping it is 2.2 s; of the 3 s, 0.8 s remain for the wait for that ping (up to
+# 0.4 s), ticks and dissemination.
+SUSPICION_TIMEOUT_S = 1.75
 # Time for one more ping before others are told. Under 5 % loss nine of ten suspicions end with
 # its answer; spread at once, those of a full fleet would use up the byte budget.
 SPREAD_DELAY_S = 0.15
--- a/libs/membership/tests/test_detector.py
+++ b/libs/membership/tests/test_detector.py
@@ -145,9 +145,11 @@
         fleet.run(60.0)
         assert fleet.verdicts() == set()
 
-    def test_pauses_of_two_seconds_kill_nobody(self) -> None:
-        # Guards against verdicts on processes that pause, and by processes that paused.
-        fleet = make_fleet(seed=6)
+    @pytest.mark.parametrize(("seed", "loss"), [(6, 0.0), (21, 0.05), (22, 0.05), (24, 0.05)])
+    def test_pauses_of_two_seconds_kill_nobody(self, seed: int, loss: float) -> None:
+        # Guards against verdicts on processes that pause, also where the ping before the pause
+        # was lost, and against verdicts by processes that paused.
+        fleet = make_fleet(seed=seed, loss=loss)
         for number, process_id in enumerate(sorted(fleet.detector_by_id)):
             fleet.pause(process_id)
             fleet.run(2.0)
@@ -155,7 +157,8 @@
             fleet.run(1.0 + number * 0.07)
         fleet.run(5.0)
         assert fleet.verdicts() == set()
-        assert all_states(fleet) == {MemberState.LIVE}
+        if not loss:
+            assert all_states(fleet) == {MemberState.LIVE}
 
 
 class TestFreeze:
