Shorten the repair of lost messages in the configuration relay

With 5 % loss a lost announcement or answer waited for the next exchange with a random peer, or 2 s for its timeout. Fallback slots keep their phase, so retries don't gather.

--- a/libs/configuration/src/laburnumbridge/configuration/__init__.py
+++ b/libs/configuration/src/laburnumbridge/configuration/__init__.py
@@ -25,6 +25,7 @@
 from laburnumbridge.configuration.events import PlatformUnavailable
 from laburnumbridge.configuration.events import Tick
 from laburnumbridge.configuration.member import Member
+from laburnumbridge.configuration.read_schedule import WATCH_WAIT_S
 from laburnumbridge.configuration.relay_counters import RelayCounters
 from laburnumbridge.configuration.value_delta import ValueDelta
 from laburnumbridge.configuration.value_digest import ValueDigest
@@ -32,6 +33,7 @@
 
 __all__ = [
     "VALUE_NAMES",
+    "WATCH_WAIT_S",
     "Action",
     "CandidateValidated",
     "ConfigurationRelay",
--- a/libs/configuration/src/laburnumbridge/configuration/configuration_relay.py
+++ b/libs/configuration/src/laburnumbridge/configuration/configuration_relay.py
@@ -258,7 +258,7 @@
         payload = document.encode() if document else b""
         if document is None or digest_of(payload) != event.digest:
             self.counters.delta_mismatches += 1
-            state.asked(event.sender, now)
+            state.asked(event.sender, now, whole=True)
             actions.append(RequestValue(event.sender, state.name, 0))
             return
         self._offer(state, event.version, event.digest, document, payload, actions)
--- a/libs/configuration/src/laburnumbridge/configuration/read_schedule.py
+++ b/libs/configuration/src/laburnumbridge/configuration/read_schedule.py
@@ -76,6 +76,7 @@
             self._slot = now + self._choice.fraction() * window_s
         if now < self._slot:
             return None
-        self._slot = now + (0.5 + self._choice.fraction()) * window_s
+        # The phase is kept: phases are uniform over the fleet, so the sum of reads stays level.
+        self._slot = now + window_s
         self._deadline = now + READ_TIMEOUT_S
         return 0.0
--- a/libs/configuration/src/laburnumbridge/configuration/value_state.py
+++ b/libs/configuration/src/laburnumbridge/configuration/value_state.py
@@ -22,7 +22,9 @@
 STALE_AFTER_S = 7.0
 # A version that peers announced and none delivered in this time is read from the platform.
 BEHIND_AFTER_S = 5.0
-REQUEST_TIMEOUT_S = 2.0
+# A delta is a few kilobytes; a whole value of 1 MB takes longer, also over a busy link.
+DELTA_TIMEOUT_S = 1.0
+WHOLE_TIMEOUT_S = 3.0
 MAX_HOLDERS = 4
 
 
@@ -124,7 +126,7 @@
         if not holders:
             return None
         chosen = holders[-1]
-        self.asked(chosen, now)
+        self.asked(chosen, now, whole=self.version == 0)
         return chosen
 
     def _postpone(self, peer: ProcessId) -> None:
@@ -132,10 +134,10 @@
         if peer in self._version_by_holder:
             self._version_by_holder.move_to_end(peer, last=False)
 
-    def asked(self, peer: ProcessId, now: float) -> None:
+    def asked(self, peer: ProcessId, now: float, *, whole: bool) -> None:
         """Note an outstanding request."""
         self._asked = peer
-        self._asked_until = now + REQUEST_TIMEOUT_S
+        self._asked_until = now + (WHOLE_TIMEOUT_S if whole else DELTA_TIMEOUT_S)
 
     def delivered(self, peer: ProcessId) -> None:
         """Note that a request was answered."""
