--- /dev/null
+++ b/libs/configuration/tests/test_configuration_relay.py
@@ -0,0 +1,185 @@
+from __future__ import annotations
+
+import pytest
+
+from laburnumbridge.configuration import CandidateValidated
+from laburnumbridge.configuration import ConfigurationRelay
+from laburnumbridge.configuration import Member
+from laburnumbridge.configuration import MembersChanged
+from laburnumbridge.configuration import PeerDigest
+from laburnumbridge.configuration import PeerRequest
+from laburnumbridge.configuration import PeerValue
+from laburnumbridge.configuration import PlatformAnswer
+from laburnumbridge.configuration import PlatformNotModified
+from laburnumbridge.configuration import PutInForce
+from laburnumbridge.configuration import ReadPlatform
+from laburnumbridge.configuration import ReportConflict
+from laburnumbridge.configuration import RequestValue
+from laburnumbridge.configuration import SendDigest
+from laburnumbridge.configuration import SendValue
+from laburnumbridge.configuration import StartServing
+from laburnumbridge.configuration import Tick
+from laburnumbridge.configuration import ValidateCandidate
+from laburnumbridge.configuration import ValueDigest
+from laburnumbridge.configuration import ValueDocument
+from laburnumbridge.configuration.errors import UnknownValueError
+from laburnumbridge.configuration.value_document import digest_of
+from laburnumbridge.core import FailureDomain
+from laburnumbridge.core import Incarnation
+from laburnumbridge.core import ProcessId
+
+PEER = ProcessId("peer")
+
+
+def value(version: int, content: str = "") -> bytes:
+    guests = [{"name": f"g{n}", "plan": "a"} for n in range(50)]
+    guests[version % 50]["plan"] = f"b{version}{content}"
+    return ValueDocument.parse(b'{"guests":%s}' % str(guests).replace("'", '"').encode()).encode()
+
+
+def digest(version: int, content: str = "") -> ValueDigest:
+    return ValueDigest("guests", version, digest_of(value(version, content)), PEER, version, 0.0)
+
+
+class Driver:
+    def __init__(self, *, invalid: tuple[int, ...] = ()) -> None:
+        self.relay = ConfigurationRelay(
+            process=ProcessId("own"),
+            incarnation=Incarnation(1),
+            failure_domain=FailureDomain("d"),
+            seed=1,
+            names=("guests",),
+        )
+        self.invalid = invalid
+        members = (Member(ProcessId("own"), FailureDomain("d")), Member(PEER, FailureDomain("d")))
+        self.send(MembersChanged(members), 0.0)
+
+    def send(self, event, now=1.0):
+        actions = self.relay.handle(event, now)
+        for action in list(actions):
+            if isinstance(action, ValidateCandidate):
+                valid = action.version not in self.invalid
+                result = CandidateValidated(action.name, action.version, action.digest, valid)
+                actions += self.send(result, now)
+        return actions
+
+    def platform(self, version, content="", now=1.0):
+        return self.send(PlatformAnswer("guests", version, value(version, content)), now)
+
+    def told(self, told, now=1.0):
+        return self.send(PeerDigest(PEER, (told,)), now)
+
+
+def kinds(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
+
+
+class TestConfigurationRelay:
+    def test_older_answers_are_counted_and_ignored(self) -> None:
+        # Guards P8: a stale platform or peer must not bring an earlier list back.
+        driver = Driver()
+        driver.platform(5)
+        assert kinds(driver.platform(4), PutInForce) == []
+        late = PeerValue(PEER, "guests", 3, digest_of(value(3)), value(3))
+        assert kinds(driver.send(late), PutInForce) == []
+        counters = driver.relay.counters
+        assert (counters.stale_platform_answers, counters.stale_peer_values) == (1, 1)
+        assert driver.relay.version("guests") == 5
+
+    def test_ignored_answer_delays_the_next_read(self) -> None:
+        # Guards against a hot loop on a platform that answers every watch with an old version.
+        driver = Driver()
+        driver.platform(5)
+        reads = 0
+        for step in range(400):
+            now = 2.0 + step * 0.1
+            for _ in kinds(driver.send(Tick(), now), ReadPlatform):
+                reads += 1
+                driver.platform(4, now=now)
+        assert reads <= 15
+
+    @pytest.mark.parametrize("from_peer", [False, True])
+    def test_other_content_under_the_same_version_is_a_conflict(self, from_peer: bool) -> None:
+        driver = Driver()
+        driver.platform(5)
+        actions = driver.told(digest(5, "x")) if from_peer else driver.platform(5, "x")
+        assert [c.source for c in kinds(actions, ReportConflict)] == [PEER if from_peer else None]
+        assert driver.relay.counters.conflicts == 1
+        assert kinds(actions, (PutInForce, RequestValue)) == []
+
+    def test_invalid_version_is_neither_spread_nor_fetched_again(self) -> None:
+        driver = Driver(invalid=(6,))
+        driver.platform(5)
+        assert kinds(driver.platform(6), PutInForce) == []
+        assert kinds(driver.told(digest(6)), RequestValue) == []
+        sent = []
+        for step in range(100):
+            now = 2.0 + step / 4
+            sent += driver.send(Tick(), now)
+            driver.send(PlatformNotModified("guests"), now)
+        assert {read.after for read in kinds(sent, ReadPlatform)} == {6}
+        assert {d.digests[0].version for d in kinds(sent, SendDigest)} == {5}
+        assert kinds(driver.platform(7, now=30.0), PutInForce) != []
+
+    def test_invalid_number_from_a_peer_does_not_hide_the_platform(self) -> None:
+        # Guards against a peer that blocks later versions by an invalid one with a high number.
+        driver = Driver(invalid=(900,))
+        driver.platform(5)
+        driver.told(digest(900))
+        driver.send(PeerValue(PEER, "guests", 900, digest_of(value(900)), value(900)))
+        driver.send(PlatformNotModified("guests"))
+        reads = [r for n in range(80) for r in kinds(driver.send(Tick(), 2 + n / 4), ReadPlatform)]
+        assert {read.after for read in reads} == {5}
+
+    def test_delta_is_verified_and_the_whole_value_asked_for_on_mismatch(self) -> None:
+        sender, receiver = Driver(), Driver()
+        for driver in (sender, receiver):
+            driver.platform(1)
+        sender.platform(2)
+        sender.platform(3)
+        sent = kinds(sender.send(PeerRequest(PEER, "guests", 1)), SendValue)[0]
+        assert sent.payload is None
+        forged = PeerValue(PEER, "guests", 3, b"x" * 16, None, sent.deltas)
+        assert [r.base_version for r in kinds(receiver.send(forged), RequestValue)] == [0]
+        genuine = PeerValue(PEER, "guests", 3, sent.digest, None, sent.deltas)
+        assert kinds(receiver.send(genuine), PutInForce)[0].payload == value(3)
+
+    def test_delta_from_an_earlier_base_fits_a_version_the_sender_never_saw(self) -> None:
+        # Guards against whole values in a burst, when processes skip different versions.
+        sender, receiver = Driver(), Driver()
+        sender.send(PlatformAnswer("guests", 1, b'{"guests":[]}'))
+        receiver.send(PlatformAnswer("guests", 2, b'{"guests":[{"name":"a"}]}'))
+        sender.send(PlatformAnswer("guests", 3, b'{"guests":[{"name":"a"},{"name":"b"}]}'))
+        sent = kinds(sender.send(PeerRequest(PEER, "guests", 2)), SendValue)[0]
+        got = PeerValue(PEER, "guests", 3, sent.digest, sent.payload, sent.deltas)
+        assert kinds(receiver.send(got), PutInForce) != []
+        assert receiver.relay.counters.delta_mismatches == 0
+
+    def test_start_takes_the_higher_of_peer_and_platform(self) -> None:
+        driver = Driver()
+        driver.told(digest(7))
+        actions = driver.platform(6)
+        assert kinds(actions, StartServing) == []
+        whole = PeerValue(PEER, "guests", 7, digest_of(value(7)), value(7))
+        assert kinds(driver.send(whole), StartServing) != []
+        assert driver.relay.version("guests") == 7
+
+    def test_start_with_peers_only_waits_a_bounded_time(self) -> None:
+        driver = Driver()
+        old = ValueDigest("guests", 7, digest_of(value(7)), PEER, 1, heard_s=3_600.0)
+        driver.told(old)
+        whole = PeerValue(PEER, "guests", 7, digest_of(value(7)), value(7))
+        assert kinds(driver.send(whole, 1.0), StartServing) == []
+        assert kinds(driver.send(Tick(), 10.9), StartServing) == []
+        assert kinds(driver.send(Tick(), 11.1), StartServing) != []
+
+    def test_start_with_neither_keeps_asking_and_does_not_serve(self) -> None:
+        driver = Driver()
+        late = [a for n in range(400) for a in driver.send(Tick(), 100 + n / 4)]
+        assert not driver.relay.serving
+        assert len(kinds(late, ReadPlatform)) >= 5
+        assert len(kinds(late, SendDigest)) >= 50
+
+    def test_unknown_value_is_a_typed_error(self) -> None:
+        with pytest.raises(UnknownValueError):
+            Driver().send(PlatformNotModified("other"))
--- /dev/null
+++ b/libs/configuration/tests/test_relay_fleet.py
@@ -0,0 +1,81 @@
+from __future__ import annotations
+
+import pytest
+
+from laburnumbridge.standins.benchmarks.configuration import FULL_FLEET
+from laburnumbridge.standins.benchmarks.configuration import RelayFleet
+from laburnumbridge.standins.benchmarks.configuration import cold_start_reads_s
+from laburnumbridge.standins.benchmarks.configuration import guest_list
+from laburnumbridge.standins.benchmarks.configuration import outage
+from laburnumbridge.standins.benchmarks.configuration import restart
+from laburnumbridge.standins.benchmarks.configuration import started_fleet
+from laburnumbridge.standins.benchmarks.configuration import watcher_death
+
+# Targets of the design page, sections 1.3 (P8) and 1.10.
+IN_FORCE_S = 15.0
+PLATFORM_READS_S = 2_000
+
+
+def check(fleet: RelayFleet) -> None:
+    assert max(fleet.delays()) <= IN_FORCE_S
+    assert fleet.reverts == 0
+    assert fleet.reads_s_max() < PLATFORM_READS_S
+    assert all(fleet.relay_by_process[process].serving for process in fleet.live)
+
+
+@pytest.mark.parametrize("size", [3, 10, 60])
+class TestRelayFleet:
+    def test_watchers_die_at_the_moment_of_a_change(self, size: int) -> None:
+        check(watcher_death(size))
+
+    def test_platform_returns_after_an_outage(self, size: int) -> None:
+        check(outage(size))
+
+    def test_everything_restarts_at_the_moment_of_a_change(self, size: int) -> None:
+        check(restart(size))
+
+    def test_failure_domain_without_the_platform_follows(self, size: int) -> None:
+        fleet = started_fleet(size=size, guests=50, seed=6)
+        cut = {p for p, domain in fleet.domain_by_process.items() if domain == "domain-0"}
+        fleet.platform.unreachable |= cut
+        for version in range(2, 6):
+            fleet.publish("guests", version, guest_list(version, 50))
+            fleet.run(5.0)
+        fleet.run(IN_FORCE_S)
+        check(fleet)
+
+    def test_failure_domain_cut_from_its_peers_reads_by_itself(self, size: int) -> None:
+        fleet = started_fleet(size=size, guests=50, seed=7)
+        cut = {p for p, domain in fleet.domain_by_process.items() if domain == "domain-0"}
+        fleet.network.cut(cut, fleet.live - cut)
+        fleet.publish("guests", 2, guest_list(2, 50))
+        fleet.publish("plans", 2, b'{"a":2}')
+        fleet.run(IN_FORCE_S)
+        check(fleet)
+
+    def test_burst_of_changes_in_two_lists(self, size: int) -> None:
+        fleet = started_fleet(size=size, guests=50, seed=8)
+        for version in range(2, 27):
+            fleet.publish("guests", version, guest_list(version, 50))
+            fleet.run(0.2)
+            fleet.publish("plans", version, b'{"a":%d}' % version)
+            fleet.run(0.2)
+        fleet.run(IN_FORCE_S)
+        check(fleet)
+
+
+class TestUnevenDelivery:
+    def test_late_messages_bring_no_earlier_version_back(self) -> None:
+        # Messages overtake one another by up to 2 s while versions follow every 0.7 s.
+        fleet = started_fleet(size=40, guests=50, seed=9, jitter_s=2.0)
+        for version in range(2, 22):
+            fleet.publish("guests", version, guest_list(version, 50))
+            fleet.run(0.7)
+        fleet.run(IN_FORCE_S)
+        check(fleet)
+
+
+class TestColdStart:
+    def test_reads_of_a_full_fleet_without_peers_stay_below_the_limit(self) -> None:
+        # Guards against retries in step, when every process starts at once and no read succeeds.
+        assert cold_start_reads_s(FULL_FLEET, 3.0) < PLATFORM_READS_S
