Tie a confirmation to the version that it vouches for

With every watcher dead and still listed, a process that was behind passed the confirmation of the newer version on together with its own older one. Receivers took the older version for confirmed, so their fallback read came up to 7 s late. A process that is behind now adopts a confirmation only with the version, and a reader confirms a version once it was validated.

--- a/libs/configuration/src/laburnumbridge/configuration/configuration_relay.py
+++ b/libs/configuration/src/laburnumbridge/configuration/configuration_relay.py
@@ -31,6 +31,7 @@
 from laburnumbridge.configuration.relay_topology import RelayTopology
 from laburnumbridge.configuration.standing import Standing
 from laburnumbridge.configuration.value_document import digest_of
+from laburnumbridge.configuration.value_state import Candidate
 from laburnumbridge.configuration.value_state import ValueState
 from laburnumbridge.configuration.value_state import canonical
 from laburnumbridge.configuration.whole_value_budget import WholeValueBudget
@@ -39,7 +40,6 @@
 if TYPE_CHECKING:
     from laburnumbridge.configuration.actions import Action
     from laburnumbridge.configuration.events import Event
-    from laburnumbridge.configuration.value_document import ValueDocument
     from laburnumbridge.core import FailureDomain
     from laburnumbridge.core import Incarnation
     from laburnumbridge.core import ProcessId
@@ -152,11 +152,13 @@
         if standing is Standing.OLDER:
             self.counters.stale_platform_answers += 1
             return
+        if standing is Standing.NEWER:
+            candidate = Candidate(event.version, digest, document, payload, from_platform=True)
+            self._offer(state, candidate, actions)
+            return
         self._confirm(state, now)
         if standing is Standing.CONFLICT:
             self._conflict(state, digest, None, actions)
-        if standing is Standing.NEWER:
-            self._offer(state, event.version, digest, document, payload, actions)
 
     def _malformed_answer(self, event: PlatformAnswer, now: float) -> None:
         state = self._state(event.name)
@@ -177,17 +179,13 @@
         state.confirmations.observe(self._process, self._confirmation, now)
         self._announcer.confirmation_changed(from_platform=True)
 
-    def _offer(
-        self,
-        state: ValueState,
-        version: int,
-        digest: bytes,
-        document: ValueDocument,
-        payload: bytes,
-        actions: list[Action],
-    ) -> None:
-        if state.offer(version, digest, document, payload):
-            actions.append(ValidateCandidate(state.name, version, digest, payload))
+    def _offer(self, state: ValueState, candidate: Candidate, actions: list[Action]) -> None:
+        if state.offer(candidate):
+            actions.append(
+                ValidateCandidate(
+                    state.name, candidate.version, candidate.digest, candidate.payload
+                )
+            )
 
     def _conflict(
         self, state: ValueState, digest: bytes, source: ProcessId | None, actions: list[Action]
@@ -205,10 +203,9 @@
                 state.note_holder(event.sender, told.version, now)
             if standing is Standing.CONFLICT:
                 self._conflict(state, told.digest, event.sender, actions)
-            if told.confirmed_by is None or told.confirmed_by == self._process:
+            if told.confirmed_by == self._process:
                 continue
-            heard_at = now - max(0.0, told.heard_s)
-            if state.confirmations.observe(told.confirmed_by, told.confirmation, heard_at):
+            if state.note_confirmation(told, standing, now):
                 self._announcer.confirmation_changed(from_platform=False)
         if event.reply_wanted:
             actions.append(self._digest_for(event.sender, now, reply_wanted=False))
@@ -261,7 +258,8 @@
             state.asked(event.sender, now, whole=True)
             actions.append(RequestValue(event.sender, state.name, 0))
             return
-        self._offer(state, event.version, event.digest, document, payload, actions)
+        candidate = Candidate(event.version, event.digest, document, payload, from_platform=False)
+        self._offer(state, candidate, actions)
 
     def _whole(
         self, state: ValueState, event: PeerValue, payload: bytes, actions: list[Action]
@@ -274,16 +272,29 @@
             self.counters.malformed_values += 1
             state.drop_holder(event.sender)
             return
-        self._offer(state, event.version, digest, document, text, actions)
+        candidate = Candidate(event.version, digest, document, text, from_platform=False)
+        self._offer(state, candidate, actions)
 
     def _validated(self, event: CandidateValidated, now: float, actions: list[Action]) -> None:
         state = self._state(event.name)
         candidate = state.take_candidate(event.version, event.digest)
         if candidate is None or candidate.version <= state.version:
             return
-        if not event.valid:
+        self._settle(state, candidate, event.valid, now, actions)
+        if candidate.from_platform and state.version:
+            self._confirm(state, now)
+
+    def _settle(
+        self,
+        state: ValueState,
+        candidate: Candidate,
+        valid: bool,
+        now: float,
+        actions: list[Action],
+    ) -> None:
+        if not valid:
             self.counters.invalid_versions += 1
-            state.reject(event.version, event.digest, now)
+            state.reject(candidate.version, candidate.digest, now)
             return
         state.install(candidate, now)
         self._announcer.version_changed()
--- a/libs/configuration/src/laburnumbridge/configuration/value_state.py
+++ b/libs/configuration/src/laburnumbridge/configuration/value_state.py
@@ -36,6 +36,7 @@
     digest: bytes
     document: ValueDocument
     payload: bytes
+    from_platform: bool
 
 
 class ValueState:
@@ -55,6 +56,7 @@
         self._known_version = 0
         self._behind_since: float | None = None
         self._version_by_holder: OrderedDict[ProcessId, int] = OrderedDict()
+        self._promised: tuple[ProcessId, int, float, int] | None = None
         self._asked: ProcessId | None = None
         self._asked_until = 0.0
 
@@ -108,6 +110,21 @@
         self._known_version = max(self._known_version, version)
         self._update_behind(now)
 
+    def note_confirmation(self, told: ValueDigest, standing: Standing, now: float) -> bool:
+        """Note a peer's confirmation; return whether it is new.
+
+        It vouches for the version that was told with it. A process that is behind adopts it only
+        with that version, or it would take its own version for confirmed and not read.
+        """
+        if told.confirmed_by is None or standing is Standing.OLDER:
+            return False
+        heard_at = now - max(0.0, told.heard_s)
+        if standing is not Standing.NEWER:
+            return self.confirmations.observe(told.confirmed_by, told.confirmation, heard_at)
+        if self._promised is None or heard_at > self._promised[2]:
+            self._promised = (told.confirmed_by, told.confirmation, heard_at, told.version)
+        return False
+
     def drop_holder(self, peer: ProcessId) -> None:
         """Forget a peer that didn't deliver."""
         self._version_by_holder.pop(peer, None)
@@ -164,11 +181,11 @@
         """Return the canonical text of the version in force."""
         return self._document.encode() if self._document else b""
 
-    def offer(self, version: int, digest: bytes, document: ValueDocument, payload: bytes) -> bool:
-        """Make a newer version the candidate, unless a higher one is being validated."""
-        if self.candidate is not None and self.candidate.version >= version:
+    def offer(self, candidate: Candidate) -> bool:
+        """Take a newer version as the candidate, unless a higher one is being validated."""
+        if self.candidate is not None and self.candidate.version >= candidate.version:
             return False
-        self.candidate = Candidate(version, digest, document, payload)
+        self.candidate = candidate
         return True
 
     def take_candidate(self, version: int, digest: bytes) -> Candidate | None:
@@ -189,6 +206,9 @@
         self._document = candidate.document
         self.version = candidate.version
         self.digest = candidate.digest
+        if self._promised is not None and self._promised[3] <= self.version:
+            self.confirmations.observe(*self._promised[:3])
+            self._promised = None
         self._update_behind(now)
 
     def reject(self, version: int, digest: bytes, now: float) -> None:
--- a/libs/configuration/tests/test_configuration_relay.py
+++ b/libs/configuration/tests/test_configuration_relay.py
@@ -180,6 +180,17 @@
         assert len(kinds(late, ReadPlatform)) >= 5
         assert len(kinds(late, SendDigest)) >= 50
 
+    def test_confirmation_of_a_newer_version_does_not_vouch_for_the_one_in_force(self) -> None:
+        # Guards against a process that is behind and neither reads nor lets others read.
+        driver = Driver()
+        driver.platform(1, now=1.0)
+        asking = PeerDigest(PEER, (digest(2),), reply_wanted=True)
+        reply = kinds(driver.send(asking, 20.0), SendDigest)[0].digests[0]
+        assert (reply.version, reply.confirmed_by) == (1, "own")
+        driver.send(PeerValue(PEER, "guests", 2, digest_of(value(2)), value(2)), 20.6)
+        reply = kinds(driver.send(asking, 21.0), SendDigest)[0].digests[0]
+        assert (reply.version, reply.confirmed_by) == (2, PEER)
+
     def test_unknown_value_is_a_typed_error(self) -> None:
         with pytest.raises(UnknownValueError):
             Driver().send(PlatformNotModified("other"))
--- a/libs/configuration/tests/test_relay_fleet.py
+++ b/libs/configuration/tests/test_relay_fleet.py
@@ -64,6 +64,18 @@
         check(fleet)
 
 
+class TestFallbackRead:
+    @pytest.mark.parametrize("seed", range(10, 16))
+    def test_change_arrives_while_dead_watchers_are_still_listed(self, seed: int) -> None:
+        # Guards against waiting for a live view that lags behind the death of every watcher.
+        fleet = started_fleet(size=100, guests=50, seed=seed)
+        fleet.kill(sorted(fleet.platform.waiting_readers()), view_after_s=60.0)
+        assert len(fleet.live) >= 30
+        fleet.publish("guests", 2, guest_list(2, 50))
+        fleet.run(IN_FORCE_S)
+        check(fleet)
+
+
 class TestUnevenDelivery:
     def test_late_messages_bring_no_earlier_version_back(self) -> None:
         # Messages overtake one another by up to 2 s while versions follow every 0.7 s.
