--- a/libs/configuration/src/laburnumbridge/configuration/value_state.py
+++ b/libs/configuration/src/laburnumbridge/configuration/value_state.py
@@ -22,7 +22,9 @@
 STALE_AFTER_S = 7.0
 # A version that peers announced and none delivered in this time is read from the platform.
 BEHIND_AFTER_S = 5.0
-REQUEST_TIMEOUT_S = 2.0
+# A delta is a few kilobytes; a whole value of 1 MB takes longer, also over a busy link.
+DELTA_TIMEOUT_S = 1.0
+WHOLE_TIMEOUT_S = 3.0
 MAX_HOLDERS = 4
 
 
@@ -34,6 +36,7 @@
     digest: bytes
     document: ValueDocument
     payload: bytes
+    from_platform: bool
 
 
 class ValueState:
@@ -53,6 +56,7 @@
         self._known_version = 0
         self._behind_since: float | None = None
         self._version_by_holder: OrderedDict[ProcessId, int] = OrderedDict()
+        self._promised: tuple[ProcessId, int, float, int] | None = None
         self._asked: ProcessId | None = None
         self._asked_until = 0.0
 
@@ -106,6 +110,21 @@
         self._known_version = max(self._known_version, version)
         self._update_behind(now)
 
+    def note_confirmation(self, told: ValueDigest, standing: Standing, now: float) -> bool:
+        """Note a peer's confirmation; return whether it is new.
+
+        It vouches for the version that was told with it. A process that is behind adopts it only
+        with that version, or it would take its own version for confirmed and not read.
+        """
+        if told.confirmed_by is None or standing is Standing.OLDER:
+            return False
+        heard_at = now - max(0.0, told.heard_s)
+        if standing is not Standing.NEWER:
+            return self.confirmations.observe(told.confirmed_by, told.confirmation, heard_at)
+        if self._promised is None or heard_at > self._promised[2]:
+            self._promised = (told.confirmed_by, told.confirmation, heard_at, told.version)
+        return False
+
     def drop_holder(self, peer: ProcessId) -> None:
         """Forget a peer that didn't deliver."""
         self._version_by_holder.pop(peer, None)
@@ -124,7 +143,7 @@
         if not holders:
             return None
         chosen = holders[-1]
-        self.asked(chosen, now)
+        self.asked(chosen, now, whole=self.version == 0)
         return chosen
 
     def _postpone(self, peer: ProcessId) -> None:
@@ -132,10 +151,10 @@
         if peer in self._version_by_holder:
             self._version_by_holder.move_to_end(peer, last=False)
 
-    def asked(self, peer: ProcessId, now: float) -> None:
+    def asked(self, peer: ProcessId, now: float, *, whole: bool) -> None:
         """Note an outstanding request."""
         self._asked = peer
-        self._asked_until = now + REQUEST_TIMEOUT_S
+        self._asked_until = now + (WHOLE_TIMEOUT_S if whole else DELTA_TIMEOUT_S)
 
     def delivered(self, peer: ProcessId) -> None:
         """Note that a request was answered."""
@@ -162,11 +181,11 @@
         """Return the canonical text of the version in force."""
         return self._document.encode() if self._document else b""
 
-    def offer(self, version: int, digest: bytes, document: ValueDocument, payload: bytes) -> bool:
-        """Make a newer version the candidate, unless a higher one is being validated."""
-        if self.candidate is not None and self.candidate.version >= version:
+    def offer(self, candidate: Candidate) -> bool:
+        """Take a newer version as the candidate, unless a higher one is being validated."""
+        if self.candidate is not None and self.candidate.version >= candidate.version:
             return False
-        self.candidate = Candidate(version, digest, document, payload)
+        self.candidate = candidate
         return True
 
     def take_candidate(self, version: int, digest: bytes) -> Candidate | None:
@@ -187,6 +206,9 @@
         self._document = candidate.document
         self.version = candidate.version
         self.digest = candidate.digest
+        if self._promised is not None and self._promised[3] <= self.version:
+            self.confirmations.observe(*self._promised[:3])
+            self._promised = None
         self._update_behind(now)
 
     def reject(self, version: int, digest: bytes, now: float) -> None:
