--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/fleet_reader.py
@@ -0,0 +1,190 @@
+"""Asks many processes at once for their status, decisions or metrics."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC
+from abc import abstractmethod
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Generic
+from typing import TypeVar
+
+import grpc
+import grpc.aio
+
+from laburnumbridge.core import InvalidInputError
+from laburnumbridge.telemetry import decode_answer
+from laburnumbridge.telemetry import decode_snapshot
+from laburnumbridge.telemetry import format_subject
+from laburnumbridge.wire import control_pb2
+from laburnumbridge.wire import control_pb2_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Iterator
+    from collections.abc import Sequence
+
+    from laburnumbridge.telemetry import ExplainAnswer
+    from laburnumbridge.telemetry import ProcessSnapshot
+    from laburnumbridge.telemetry import SubjectKind
+    from laburnumbridge.wire import ChannelPool
+    from laburnumbridge.wire import Endpoint
+
+T = TypeVar("T")
+
+TIMEOUT_S = 3.0
+CONCURRENCY = 64
+# The pool keeps channels that it has replaced until its next reload.
+CALLS_BETWEEN_RELOADS = 256
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetProcess:
+    """A process of the list of VMs and the address for its calls."""
+
+    name: str
+    endpoint: Endpoint
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reply(Generic[T]):
+    """The answer of a process, or the reason why there is none; exactly one is set."""
+
+    process: FleetProcess
+    content: T | None = None
+    failure: str | None = None
+
+
+class FleetReader(ABC):
+    """Reads from processes; there is one reply for each, in the order in which they come."""
+
+    @abstractmethod
+    def status(self, processes: Sequence[FleetProcess]) -> AsyncIterator[Reply[ProcessSnapshot]]:
+        """Read snapshots without series."""
+
+    @abstractmethod
+    def metrics(self, processes: Sequence[FleetProcess]) -> AsyncIterator[Reply[ProcessSnapshot]]:
+        """Read snapshots with series."""
+
+    @abstractmethod
+    def explain(
+        self, processes: Sequence[FleetProcess], *, kind: SubjectKind, identifier: str
+    ) -> AsyncIterator[Reply[ExplainAnswer]]:
+        """Read the decisions about a subject."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Release all connections."""
+
+
+class GrpcFleetReader(FleetReader):
+    """Reads over gRPC with mutual TLS.
+
+    ``timeout_s`` bounds one call, its connection included; ``concurrency`` bounds the calls that
+    are open at once. The reader owns ``pool`` and closes it.
+    """
+
+    def __init__(
+        self,
+        *,
+        pool: ChannelPool,
+        timeout_s: float = TIMEOUT_S,
+        concurrency: int = CONCURRENCY,
+    ) -> None:
+        self._pool = pool
+        self._timeout_s = timeout_s
+        self._concurrency = concurrency
+        self._calls = 0
+
+    def status(self, processes: Sequence[FleetProcess]) -> AsyncIterator[Reply[ProcessSnapshot]]:
+        """Call Status at each process."""
+
+        async def ask(process: FleetProcess) -> ProcessSnapshot:
+            answer = await self._stub(process).Status(
+                control_pb2.StatusRequest(), timeout=self._timeout_s
+            )
+            return decode_snapshot(answer.json, process=process.name)
+
+        return self._ask_all(processes, ask)
+
+    def metrics(self, processes: Sequence[FleetProcess]) -> AsyncIterator[Reply[ProcessSnapshot]]:
+        """Call Metrics at each process."""
+
+        async def ask(process: FleetProcess) -> ProcessSnapshot:
+            answer = await self._stub(process).Metrics(
+                control_pb2.MetricsRequest(), timeout=self._timeout_s
+            )
+            return decode_snapshot(answer.json, process=process.name)
+
+        return self._ask_all(processes, ask)
+
+    def explain(
+        self, processes: Sequence[FleetProcess], *, kind: SubjectKind, identifier: str
+    ) -> AsyncIterator[Reply[ExplainAnswer]]:
+        """Call Explain at each process."""
+        request = control_pb2.ExplainRequest(subject=format_subject(kind, identifier))
+
+        async def ask(process: FleetProcess) -> ExplainAnswer:
+            answer = await self._stub(process).Explain(request, timeout=self._timeout_s)
+            return decode_answer(answer.json, process=process.name)
+
+        return self._ask_all(processes, ask)
+
+    async def close(self) -> None:
+        """Close the pool of channels."""
+        await self._pool.close()
+
+    def _stub(self, process: FleetProcess) -> control_pb2_grpc.ControlStub:
+        channel = self._pool.channel(process.endpoint)
+        # The generated stub has no annotations.
+        return control_pb2_grpc.ControlStub(channel)  # type: ignore[no-untyped-call]
+
+    async def _ask_all(
+        self,
+        processes: Sequence[FleetProcess],
+        ask: Callable[[FleetProcess], Awaitable[T]],
+    ) -> AsyncIterator[Reply[T]]:
+        # A bounded queue keeps workers from running ahead of a slow caller.
+        replies: asyncio.Queue[Reply[T]] = asyncio.Queue(maxsize=self._concurrency)
+        waiting = iter(processes)
+        count = min(self._concurrency, len(processes))
+        workers = [asyncio.create_task(self._work(waiting, ask, replies)) for _ in range(count)]
+        try:
+            for _ in processes:
+                yield await replies.get()
+        finally:
+            for worker in workers:
+                worker.cancel()
+            await asyncio.gather(*workers, return_exceptions=True)
+
+    async def _work(
+        self,
+        waiting: Iterator[FleetProcess],
+        ask: Callable[[FleetProcess], Awaitable[T]],
+        replies: asyncio.Queue[Reply[T]],
+    ) -> None:
+        for process in waiting:
+            await replies.put(await self._ask_one(process, ask))
+            self._calls += 1
+            if self._calls % CALLS_BETWEEN_RELOADS == 0:
+                await self._pool.reload()
+
+    async def _ask_one(
+        self, process: FleetProcess, ask: Callable[[FleetProcess], Awaitable[T]]
+    ) -> Reply[T]:
+        try:
+            content = await ask(process)
+        except grpc.aio.AioRpcError as error:
+            return Reply(process=process, failure=self._describe(error))
+        except InvalidInputError as error:
+            return Reply(process=process, failure=str(error))
+        return Reply(process=process, content=content)
+
+    def _describe(self, error: grpc.aio.AioRpcError) -> str:
+        if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+            return f"no answer within {self._timeout_s:g} s"
+        details = " ".join((error.details() or "").split())
+        return f"{error.code().name.lower()}: {details}" if details else error.code().name.lower()
--- a/libs/telemetry/src/laburnumbridge/telemetry/explain_answer.py
+++ b/libs/telemetry/src/laburnumbridge/telemetry/explain_answer.py
@@ -40,10 +40,14 @@
 
 
 class ExplainAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """What a process remembers about a subject, oldest first."""
+    """What a process remembers about a subject, oldest first.
+
+    ``omitted`` is the number of older decisions that were left out.
+    """
 
     process: str
     decisions: tuple[DecisionRecord, ...] = ()
+    omitted: int = 0
 
 
 _DECODER = msgspec.json.Decoder(ExplainAnswer)
