Add check, status, explain and report burn to the command

Operators need to validate lists before publishing them and to see the fleet, the causes of decisions and the burn of error budgets. Processes are found through the platform or a file, asked over mutual TLS, and those that don't answer are listed.

--- a/libs/cli/src/laburnumbridge/cli/application.py
+++ b/libs/cli/src/laburnumbridge/cli/application.py
@@ -5,36 +5,172 @@
 import sys
 from pathlib import Path
 from typing import Annotated
+from typing import Literal
 
 import typer
+from typer.exceptions import TyperException
 
+from laburnumbridge.cli import options  # noqa: TC001, typer reads annotations at run time
 from laburnumbridge.cli.commands.agent_command import AgentCommand
 from laburnumbridge.cli.commands.balancer_command import BalancerCommand
 from laburnumbridge.cli.commands.bench_command import BenchCommand
+from laburnumbridge.cli.commands.check_command import CheckCommand
+from laburnumbridge.cli.commands.explain_command import ExplainCommand
+from laburnumbridge.cli.commands.report_burn_command import ReportBurnCommand
+from laburnumbridge.cli.commands.report_burn_command import ReportFormat
+from laburnumbridge.cli.commands.status_command import StatusCommand
+from laburnumbridge.cli.exit_status import ExitStatus
+from laburnumbridge.cli.fleet import FleetOptions
+from laburnumbridge.cli.fleet import GrpcFleetOpener
 from laburnumbridge.core import LaburnumbridgeError
+from laburnumbridge.runtime.fleet_reader import TIMEOUT_S
+from laburnumbridge.telemetry import SubjectKind  # noqa: TC001, see above
 
+SHOWN_DECISIONS = 200
+
+# Plain help has the same layout in every terminal, pipe and test.
 application = typer.Typer(
     name="laburnumbridge",
     help="A layer-4 load balancer for QUIC and HTTP/3.",
-    no_args_is_help=True,
     pretty_exceptions_enable=False,
+    rich_markup_mode=None,
 )
-
-SettingsFile = Annotated[Path, typer.Argument(help="JSON file with the settings of the process.")]
+report = typer.Typer(help="Reports over the whole fleet.", rich_markup_mode=None)
+application.add_typer(report, name="report")
 
 
 @application.command()
-def balancer(settings: SettingsFile) -> None:
+def balancer(settings: options.SettingsFile) -> None:
     """Run the balancer of an entry VM until it gets SIGTERM or Ctrl-C."""
     BalancerCommand(settings=settings).run()
 
 
 @application.command()
-def agent(settings: SettingsFile) -> None:
+def agent(settings: options.SettingsFile) -> None:
     """Run the agent beside an upstream until it gets SIGTERM or Ctrl-C."""
     AgentCommand(settings=settings).run()
 
 
+@application.command()
+def check(
+    services: Annotated[Path, typer.Option(help="JSON file with the services.")],
+    guests: Annotated[Path, typer.Option(help="JSON file with the guests.")],
+    plans: Annotated[Path, typer.Option(help="JSON file with the plans.")],
+    vms: options.VmsFile = None,
+    settings: Annotated[
+        Path | None, typer.Option(help="JSON file with the settings of a process.")
+    ] = None,
+    role: Annotated[
+        Literal["balancer", "agent"] | None, typer.Option(help="What the settings are for.")
+    ] = None,
+    as_json: options.Json = False,
+) -> None:
+    """Check lists and settings, and limits against the capacity of the VMs."""
+    CheckCommand(
+        services=services,
+        guests=guests,
+        plans=plans,
+        vms=vms,
+        settings=settings,
+        role=role,
+        as_json=as_json,
+    ).run()
+
+
+@application.command()
+def status(
+    platform: options.Platform = None,
+    vms: options.VmsFile = None,
+    tls_certificate: options.TlsCertificate = None,
+    tls_key: options.TlsKey = None,
+    tls_authority: options.TlsAuthority = None,
+    timeout: options.Timeout = TIMEOUT_S,
+    as_json: options.Json = False,
+) -> None:
+    """Show processes, versions in force, views, flows, imbalance and refusals."""
+    fleet = FleetOptions(
+        platform=platform,
+        vms=vms,
+        tls_certificate=tls_certificate,
+        tls_key=tls_key,
+        tls_authority=tls_authority,
+        timeout_s=timeout,
+    )
+    StatusCommand(opener=GrpcFleetOpener(options=fleet), as_json=as_json).run()
+
+
+@application.command()
+def explain(
+    kind: Annotated[SubjectKind, typer.Argument(help="What the decisions are about.")],
+    identifier: Annotated[
+        str, typer.Argument(help="Request, flow (hex), upstream, plan, or version (list@number).")
+    ],
+    platform: options.Platform = None,
+    vms: options.VmsFile = None,
+    tls_certificate: options.TlsCertificate = None,
+    tls_key: options.TlsKey = None,
+    tls_authority: options.TlsAuthority = None,
+    timeout: options.Timeout = TIMEOUT_S,
+    limit: Annotated[int, typer.Option(help="Show the newest decisions only.", min=1)] = (
+        SHOWN_DECISIONS
+    ),
+    as_json: options.Json = False,
+) -> None:
+    """Show what was decided about a subject, in order and with causes."""
+    fleet = FleetOptions(
+        platform=platform,
+        vms=vms,
+        tls_certificate=tls_certificate,
+        tls_key=tls_key,
+        tls_authority=tls_authority,
+        timeout_s=timeout,
+    )
+    ExplainCommand(
+        opener=GrpcFleetOpener(options=fleet),
+        kind=kind,
+        identifier=identifier,
+        limit=limit,
+        as_json=as_json,
+    ).run()
+
+
+@report.callback()
+def choose_report() -> None:
+    """Reports over the whole fleet."""
+
+
+@report.command()
+def burn(
+    platform: options.Platform = None,
+    vms: options.VmsFile = None,
+    services: Annotated[
+        Path | None, typer.Option(help="JSON file with the services and their objectives.")
+    ] = None,
+    tls_certificate: options.TlsCertificate = None,
+    tls_key: options.TlsKey = None,
+    tls_authority: options.TlsAuthority = None,
+    timeout: options.Timeout = TIMEOUT_S,
+    report_format: Annotated[
+        ReportFormat, typer.Option("--format", help="What to print.")
+    ] = ReportFormat.TABLE,
+    html: Annotated[
+        Path | None, typer.Option(help="Write a page with charts to this file as well.")
+    ] = None,
+) -> None:
+    """Show how fast the error budgets burn, by service and plan."""
+    fleet = FleetOptions(
+        platform=platform,
+        vms=vms,
+        services=services,
+        tls_certificate=tls_certificate,
+        tls_key=tls_key,
+        tls_authority=tls_authority,
+        timeout_s=timeout,
+    )
+    opener = GrpcFleetOpener(options=fleet)
+    ReportBurnCommand(opener=opener, report_format=report_format, html=html).run()
+
+
 @application.command()
 def bench(
     output: Annotated[
@@ -48,10 +184,27 @@
     BenchCommand(output=output, only=only or []).run()
 
 
-def main() -> None:
-    """Run the command; errors are one line on standard error with their own exit status."""
+def run(arguments: list[str]) -> int:
+    """Run a command line and return its exit status; an error is one line on standard error."""
     try:
-        application()
+        # Typer returns the status of Ctrl-C and of --help, and None otherwise.
+        return application(args=arguments, prog_name="laburnumbridge", standalone_mode=False) or 0
     except LaburnumbridgeError as error:
-        typer.echo(f"error: {error}", err=True)
-        sys.exit(error.exit_code)
+        _print_error(str(error))
+        return error.exit_code
+    except TyperException as error:
+        context = getattr(error, "ctx", None)
+        command = context.command_path if context else "laburnumbridge"
+        _print_error(f"{error.format_message().rstrip('.')}; see '{command} --help'")
+        return ExitStatus.INVALID_INPUT
+    except (KeyboardInterrupt, typer.Abort):
+        return ExitStatus.INTERRUPTED
+
+
+def main() -> None:
+    """Run the command."""
+    sys.exit(run(sys.argv[1:]))
+
+
+def _print_error(message: str) -> None:
+    typer.echo(f"error: {' '.join(message.split())}", err=True)
--- a/libs/cli/src/laburnumbridge/cli/errors.py
+++ b/libs/cli/src/laburnumbridge/cli/errors.py
@@ -1,13 +1,16 @@
-"""Errors of the command line."""
+"""Errors of the command line; each message names the thing, the reason and the next step."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from laburnumbridge.core import InvalidInputError
+from laburnumbridge.core import LaburnumbridgeError
+from laburnumbridge.core import UnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
+    from pathlib import Path
 
 
 class UnknownBenchmarkError(InvalidInputError):
@@ -17,3 +20,79 @@
         super().__init__(f"there is no benchmark {name!r}; known: {', '.join(known) or 'none'}")
         self.name = name
         self.known = tuple(known)
+
+
+class FileNotReadableError(InvalidInputError):
+    """A file that an option names is missing or can't be read."""
+
+    def __init__(self, *, path: Path, reason: str) -> None:
+        super().__init__(f"can't read {path}: {reason}; check the path and its mode")
+        self.path = path
+        self.reason = reason
+
+
+class FileNotWritableError(InvalidInputError):
+    """A file that an option names can't be written."""
+
+    def __init__(self, *, path: Path, reason: str) -> None:
+        super().__init__(f"can't write {path}: {reason}; choose another path")
+        self.path = path
+        self.reason = reason
+
+
+class OptionNeededError(InvalidInputError):
+    """An option is missing beside another one."""
+
+    def __init__(self, *, option: str, purpose: str) -> None:
+        super().__init__(f"{option} is missing: {purpose}; add it and run the command again")
+        self.option = option
+
+
+class ChecksFailedError(InvalidInputError):
+    """The lists or the settings have errors."""
+
+    def __init__(self, *, errors: int) -> None:
+        noun = "error" if errors == 1 else "errors"
+        super().__init__(f"the files have {errors} {noun}; correct them and run check again")
+        self.errors = errors
+
+
+class PlatformNotReadError(UnavailableError):
+    """The platform has no answer for a command."""
+
+    def __init__(self, *, reason: str) -> None:
+        super().__init__(f"{reason}; check --platform, or name the files with --vms and --services")
+        self.reason = reason
+
+
+class NoProcessesError(InvalidInputError):
+    """The list of VMs is empty."""
+
+    def __init__(self, *, origin: str) -> None:
+        super().__init__(f"the VM list of {origin} is empty; check that it is the right one")
+        self.origin = origin
+
+
+class NoAnswerError(UnavailableError):
+    """None of the processes answered."""
+
+    def __init__(self, *, asked: int, first_reason: str) -> None:
+        super().__init__(
+            f"none of {asked} processes answered, the first: {first_reason}; check the control "
+            "addresses and the TLS files"
+        )
+        self.asked = asked
+        self.first_reason = first_reason
+
+
+class NothingRememberedError(LaburnumbridgeError):
+    """No process that answered remembers a decision about a subject."""
+
+    def __init__(self, *, subject: str, silent: int) -> None:
+        unheard = f" ({silent} did not answer)" if silent else ""
+        super().__init__(
+            f"no process remembers {subject}{unheard}; check the identifier, decisions are kept "
+            "in memory for a while only"
+        )
+        self.subject = subject
+        self.silent = silent
--- /dev/null
+++ b/libs/cli/src/laburnumbridge/cli/fleet.py
@@ -0,0 +1,134 @@
+"""The processes that a command asks."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from pydantic import BaseModel
+
+from laburnumbridge.cli.errors import NoProcessesError
+from laburnumbridge.cli.errors import OptionNeededError
+from laburnumbridge.cli.errors import PlatformNotReadError
+from laburnumbridge.cli.input_file import read_input
+from laburnumbridge.lists import ServiceList
+from laburnumbridge.lists import VmList
+from laburnumbridge.lists import parse_list
+from laburnumbridge.runtime.errors import PlatformUnavailableError
+from laburnumbridge.runtime.fleet_reader import TIMEOUT_S
+from laburnumbridge.runtime.fleet_reader import FleetProcess
+from laburnumbridge.runtime.fleet_reader import GrpcFleetReader
+from laburnumbridge.runtime.platform_client import PlatformClient
+from laburnumbridge.wire import ChannelPool
+from laburnumbridge.wire import Endpoint
+from laburnumbridge.wire import FileCertificateSource
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from contextlib import AbstractAsyncContextManager
+    from pathlib import Path
+
+    from laburnumbridge.runtime.fleet_reader import FleetReader
+
+M = TypeVar("M", bound=BaseModel)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetOptions:
+    """Where the list of VMs comes from, and the PEM files for mutual TLS."""
+
+    platform: str | None = None
+    vms: Path | None = None
+    services: Path | None = None
+    tls_certificate: Path | None = None
+    tls_key: Path | None = None
+    tls_authority: Path | None = None
+    timeout_s: float = TIMEOUT_S
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fleet:
+    """Listed processes, a reader for them, and the services where they were asked for."""
+
+    processes: tuple[FleetProcess, ...]
+    reader: FleetReader
+    services: ServiceList | None = None
+
+
+class FleetOpener(ABC):
+    """Gives access to a fleet for the time of a command."""
+
+    @abstractmethod
+    def open(self, *, with_services: bool = False) -> AbstractAsyncContextManager[Fleet]:
+        """Read the lists and open the reader; raises LaburnumbridgeError."""
+
+
+class GrpcFleetOpener(FleetOpener):
+    """Reads lists from the platform or from files, and processes over gRPC."""
+
+    def __init__(self, *, options: FleetOptions) -> None:
+        self._options = options
+
+    @asynccontextmanager
+    async def open(self, *, with_services: bool = False) -> AsyncIterator[Fleet]:
+        """Open the fleet and close its connections at the end."""
+        pool = ChannelPool(source=self._certificates())
+        reader = GrpcFleetReader(pool=pool, timeout_s=self._options.timeout_s)
+        try:
+            vms = await self._read("vms", self._options.vms, VmList)
+            services = None
+            if with_services:
+                services = await self._read("services", self._options.services, ServiceList)
+            yield Fleet(processes=self._processes(vms), reader=reader, services=services)
+        finally:
+            await reader.close()
+
+    def _certificates(self) -> FileCertificateSource:
+        options = self._options
+        purpose = "the processes accept calls over mutual TLS only"
+        if options.tls_certificate is None:
+            raise OptionNeededError(option="--tls-certificate", purpose=purpose)
+        if options.tls_key is None:
+            raise OptionNeededError(option="--tls-key", purpose=purpose)
+        if options.tls_authority is None:
+            raise OptionNeededError(option="--tls-authority", purpose=purpose)
+        return FileCertificateSource(
+            authorities=options.tls_authority,
+            chain=options.tls_certificate,
+            private_key=options.tls_key,
+        )
+
+    def _processes(self, vms: VmList) -> tuple[FleetProcess, ...]:
+        if not vms.vms:
+            raise NoProcessesError(origin=str(self._options.vms or self._options.platform))
+        return tuple(
+            FleetProcess(name=vm.name, endpoint=Endpoint.parse(vm.control_address))
+            for vm in vms.vms
+        )
+
+    async def _read(self, name: str, file: Path | None, model: type[M]) -> M:
+        if file is not None:
+            return parse_list(name, read_input(file), model)
+        url = self._options.platform
+        if url is None:
+            raise OptionNeededError(
+                option=f"--{name}", purpose=f"without --platform the list of {name} is not known"
+            )
+        return parse_list(name, await self._read_platform(url, name), model)
+
+    async def _read_platform(self, url: str, name: str) -> bytes:
+        client = PlatformClient(url=url)
+        await client.start()
+        try:
+            published = await client.read(name)
+        except PlatformUnavailableError as error:
+            raise PlatformNotReadError(reason=str(error)) from error
+        finally:
+            await client.close()
+        if published is None:
+            raise PlatformNotReadError(reason=f"the platform at {url} has published no {name}")
+        return published.payload
--- /dev/null
+++ b/libs/cli/src/laburnumbridge/cli/status_tables.py
@@ -0,0 +1,113 @@
+"""Tables of the fleet's status."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rich.table import Table
+
+from laburnumbridge.cli.silent_process import build_silent_table
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Sequence
+
+    from rich.console import JustifyMethod
+
+    from laburnumbridge.cli.fleet_status import FleetStatus
+
+_DIGEST_SHOWN = 12
+
+
+def build_status_tables(status: FleetStatus) -> Iterator[Table]:
+    """Return the tables in the order of the page; empty ones are left out."""
+    yield _processes(status)
+    if status.versions:
+        yield _versions(status)
+    if status.views:
+        yield _views(status)
+    if status.services:
+        yield _services(status)
+    yield _refusals(status)
+    if status.silent:
+        yield build_silent_table(status.silent)
+
+
+def new_table(title: str, columns: Sequence[str], *, numbers: Sequence[str] = ()) -> Table:
+    """Return an empty table; columns in ``numbers`` are aligned to the right."""
+    table = Table(title=title, title_justify="left")
+    for column in columns:
+        justify: JustifyMethod = "right" if column in numbers else "left"
+        table.add_column(column, justify=justify, overflow="fold")
+    return table
+
+
+def format_ratio(value: float | None) -> str:
+    """Write a ratio, or a dash where there is none."""
+    return "–" if value is None else f"{value:.3f}"
+
+
+def _processes(status: FleetStatus) -> Table:
+    table = new_table(
+        f"Processes: {status.answered} answered, {len(status.silent)} did not",
+        ("role", "region", "failure domain", "processes"),
+        numbers=("processes",),
+    )
+    for group in status.processes:
+        table.add_row(group.role, group.region, group.failure_domain, str(group.processes))
+    return table
+
+
+def _versions(status: FleetStatus) -> Table:
+    table = new_table(
+        "Versions in force",
+        ("list", "version", "digest", "processes", "such as"),
+        numbers=("version", "processes"),
+    )
+    for group in status.versions:
+        table.add_row(
+            group.name,
+            str(group.version),
+            group.digest[:_DIGEST_SHOWN],
+            str(group.processes),
+            ", ".join(group.examples),
+        )
+    return table
+
+
+def _views(status: FleetStatus) -> Table:
+    differences = len(status.views) - 1
+    title = (
+        "Views of the membership: all equal"
+        if not differences
+        else (f"Views of the membership: {len(status.views)} different ones")
+    )
+    table = new_table(title, ("digest", "processes", "states", "such as"), numbers=("processes",))
+    for group in status.views:
+        states = ", ".join(f"{count} {state}" for state, count in group.count_by_state.items())
+        digest = group.digest[:_DIGEST_SHOWN]
+        table.add_row(digest, str(group.processes), states, ", ".join(group.examples))
+    return table
+
+
+def _services(status: FleetStatus) -> Table:
+    numbers = ("accepting", "open flows", "imbalance", "busy slots", "slot imbalance")
+    table = new_table("Services", ("service", *numbers), numbers=numbers)
+    for load in status.services:
+        table.add_row(
+            load.service,
+            f"{load.accepting} of {load.upstreams}",
+            str(load.open_flows),
+            format_ratio(load.flow_imbalance),
+            str(load.busy_slots),
+            format_ratio(load.slot_imbalance),
+        )
+    return table
+
+
+def _refusals(status: FleetStatus) -> Table:
+    table = new_table("Since the processes started", ("what", "count"), numbers=("count",))
+    table.add_row("broken flows", str(status.broken_flows))
+    for reason, count in status.refusals_by_reason.items():
+        table.add_row(f"refused: {reason}", str(count))
+    return table
--- a/libs/runtime/src/laburnumbridge/runtime/fleet_reader.py
+++ b/libs/runtime/src/laburnumbridge/runtime/fleet_reader.py
@@ -21,7 +21,7 @@
 from laburnumbridge.wire import control_pb2_grpc
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
     from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Iterator
@@ -34,6 +34,7 @@
     from laburnumbridge.wire import Endpoint
 
 T = TypeVar("T")
+T_co = TypeVar("T_co", covariant=True)
 
 TIMEOUT_S = 3.0
 CONCURRENCY = 64
@@ -50,29 +51,42 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Reply(Generic[T]):
+class Reply(Generic[T_co]):
     """The answer of a process, or the reason why there is none; exactly one is set."""
 
     process: FleetProcess
-    content: T | None = None
+    content: T_co | None = None
     failure: str | None = None
 
 
+class OtherProcessAnsweredError(InvalidInputError):
+    """An address of the lagging list of VMs belongs to another process by now."""
+
+    def __init__(self, *, expected: str, actual: str) -> None:
+        super().__init__(f"{actual!r} answers at the address of {expected!r}")
+        self.expected = expected
+        self.actual = actual
+
+
 class FleetReader(ABC):
     """Reads from processes; there is one reply for each, in the order in which they come."""
 
     @abstractmethod
-    def status(self, processes: Sequence[FleetProcess]) -> AsyncIterator[Reply[ProcessSnapshot]]:
+    def status(
+        self, processes: Sequence[FleetProcess]
+    ) -> AsyncGenerator[Reply[ProcessSnapshot], None]:
         """Read snapshots without series."""
 
     @abstractmethod
-    def metrics(self, processes: Sequence[FleetProcess]) -> AsyncIterator[Reply[ProcessSnapshot]]:
+    def metrics(
+        self, processes: Sequence[FleetProcess]
+    ) -> AsyncGenerator[Reply[ProcessSnapshot], None]:
         """Read snapshots with series."""
 
     @abstractmethod
     def explain(
         self, processes: Sequence[FleetProcess], *, kind: SubjectKind, identifier: str
-    ) -> AsyncIterator[Reply[ExplainAnswer]]:
+    ) -> AsyncGenerator[Reply[ExplainAnswer], None]:
         """Read the decisions about a subject."""
 
     @abstractmethod
@@ -99,37 +113,44 @@
         self._concurrency = concurrency
         self._calls = 0
 
-    def status(self, processes: Sequence[FleetProcess]) -> AsyncIterator[Reply[ProcessSnapshot]]:
+    def status(
+        self, processes: Sequence[FleetProcess]
+    ) -> AsyncGenerator[Reply[ProcessSnapshot], None]:
         """Call Status at each process."""
 
         async def ask(process: FleetProcess) -> ProcessSnapshot:
             answer = await self._stub(process).Status(
                 control_pb2.StatusRequest(), timeout=self._timeout_s
             )
-            return decode_snapshot(answer.json, process=process.name)
+            return _check_name(process, decode_snapshot(answer.json, process=process.name))
 
         return self._ask_all(processes, ask)
 
-    def metrics(self, processes: Sequence[FleetProcess]) -> AsyncIterator[Reply[ProcessSnapshot]]:
+    def metrics(
+        self, processes: Sequence[FleetProcess]
+    ) -> AsyncGenerator[Reply[ProcessSnapshot], None]:
         """Call Metrics at each process."""
 
         async def ask(process: FleetProcess) -> ProcessSnapshot:
             answer = await self._stub(process).Metrics(
                 control_pb2.MetricsRequest(), timeout=self._timeout_s
             )
-            return decode_snapshot(answer.json, process=process.name)
+            return _check_name(process, decode_snapshot(answer.json, process=process.name))
 
         return self._ask_all(processes, ask)
 
     def explain(
         self, processes: Sequence[FleetProcess], *, kind: SubjectKind, identifier: str
-    ) -> AsyncIterator[Reply[ExplainAnswer]]:
+    ) -> AsyncGenerator[Reply[ExplainAnswer], None]:
         """Call Explain at each process."""
         request = control_pb2.ExplainRequest(subject=format_subject(kind, identifier))
 
         async def ask(process: FleetProcess) -> ExplainAnswer:
             answer = await self._stub(process).Explain(request, timeout=self._timeout_s)
-            return decode_answer(answer.json, process=process.name)
+            found = decode_answer(answer.json, process=process.name)
+            if found.process != process.name:
+                raise OtherProcessAnsweredError(expected=process.name, actual=found.process)
+            return found
 
         return self._ask_all(processes, ask)
 
@@ -146,7 +167,7 @@
         self,
         processes: Sequence[FleetProcess],
         ask: Callable[[FleetProcess], Awaitable[T]],
-    ) -> AsyncIterator[Reply[T]]:
+    ) -> AsyncGenerator[Reply[T], None]:
         # A bounded queue keeps workers from running ahead of a slow caller.
         replies: asyncio.Queue[Reply[T]] = asyncio.Queue(maxsize=self._concurrency)
         waiting = iter(processes)
@@ -188,3 +209,10 @@
             return f"no answer within {self._timeout_s:g} s"
         details = " ".join((error.details() or "").split())
         return f"{error.code().name.lower()}: {details}" if details else error.code().name.lower()
+
+
+def _check_name(process: FleetProcess, snapshot: ProcessSnapshot) -> ProcessSnapshot:
+    # A process that is reached by two addresses would be counted twice.
+    if snapshot.facts.name != process.name:
+        raise OtherProcessAnsweredError(expected=process.name, actual=snapshot.facts.name)
+    return snapshot
--- a/libs/runtime/tests/test_fleet_reader.py
+++ b/libs/runtime/tests/test_fleet_reader.py
@@ -35,6 +35,7 @@
     def __init__(self) -> None:
         self.open_calls = 0
         self.most_open_calls = 0
+        self.subjects: list[str] = []
 
     async def Status(self, request, context):  # noqa: N802
         self.open_calls += 1
@@ -49,7 +50,8 @@
     async def Explain(self, request, context):  # noqa: N802
         if request.subject == "flow:hang":
             await asyncio.Event().wait()
-        return control_pb2.JsonResponse(json=encode_answer(ExplainAnswer(process=request.subject)))
+        self.subjects.append(request.subject)
+        return control_pb2.JsonResponse(json=encode_answer(ExplainAnswer(process="a")))
 
 
 class Fleet:
@@ -104,6 +106,18 @@
         assert "can't be read" in str(replies[0].failure)
         await reader.close()
 
+    async def test_an_address_that_another_process_uses_now_is_reported(self, fleet: Fleet) -> None:
+        # Guards against counting one process twice while the list of VMs lags.
+        former = FleetProcess(name="former", endpoint=fleet.process.endpoint)
+        reader = fleet.reader()
+        for replies in (
+            reader.status([former]),
+            reader.explain([former], kind=SubjectKind.FLOW, identifier="0a1b"),
+        ):
+            failures = [reply.failure async for reply in replies]
+            assert failures == ["'a' answers at the address of 'former'"]
+        await reader.close()
+
     async def test_a_hanging_process_ends_at_its_timeout(self, fleet: Fleet) -> None:
         reader = fleet.reader(timeout_s=0.2)
         found = reader.explain([fleet.process], kind=SubjectKind.FLOW, identifier="hang")
@@ -114,5 +128,6 @@
         reader = fleet.reader()
         found = reader.explain([fleet.process], kind=SubjectKind.FLOW, identifier="0a1b")
         contents = [reply.content async for reply in found]
-        assert contents == [ExplainAnswer(process="flow:0a1b")]
+        assert contents == [ExplainAnswer(process="a")]
+        assert fleet.control.subjects == ["flow:0a1b"]
         await reader.close()
--- a/libs/telemetry/src/laburnumbridge/telemetry/__init__.py
+++ b/libs/telemetry/src/laburnumbridge/telemetry/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from laburnumbridge.telemetry.burn_report import ALERT_RULES
 from laburnumbridge.telemetry.burn_report import WINDOW_MINUTES
 from laburnumbridge.telemetry.burn_report import BurnLine
 from laburnumbridge.telemetry.burn_report import ServiceObjectives
@@ -44,6 +45,7 @@
 from laburnumbridge.telemetry.snapshot_codec import take_snapshot
 
 __all__ = [
+    "ALERT_RULES",
     "BROKEN_FLOWS",
     "WINDOW_MINUTES",
     "BurnLine",
