--- a/libs/cli/src/laburnumbridge/cli/application.py
+++ b/libs/cli/src/laburnumbridge/cli/application.py
@@ -134,11 +134,6 @@
     ).run()
 
 
-@report.callback()
-def choose_report() -> None:
-    """Reports over the whole fleet."""
-
-
 @report.command()
 def burn(
     platform: options.Platform = None,
--- a/libs/cli/src/laburnumbridge/cli/burn_page.py
+++ b/libs/cli/src/laburnumbridge/cli/burn_page.py
@@ -93,7 +93,7 @@
         )
         for line in ordered
     ]
-    title = _count_title("Error budget left over 6 h", len(bars), len(lines))
+    title = _count_title("Error budget left over 6 h, drawn down to -100 %", len(bars), len(lines))
     return draw_bars(title=title, bars=bars, lowest=LOWEST_BUDGET, highest=1.0)
 
 
--- a/libs/cli/src/laburnumbridge/cli/errors.py
+++ b/libs/cli/src/laburnumbridge/cli/errors.py
@@ -57,6 +57,23 @@
         self.errors = errors
 
 
+class ListNotUsableError(InvalidInputError):
+    """A list that a command needs is not valid."""
+
+    def __init__(self, *, origin: str, reason: str) -> None:
+        super().__init__(f"{origin}: {reason}; correct it with the help of check")
+        self.origin = origin
+        self.reason = reason
+
+
+class TlsFilesNotUsableError(InvalidInputError):
+    """The PEM files of the operator can't be read or don't belong together."""
+
+    def __init__(self, *, reason: str) -> None:
+        super().__init__(f"{reason}; check --tls-certificate, --tls-key and --tls-authority")
+        self.reason = reason
+
+
 class PlatformNotReadError(UnavailableError):
     """The platform has no answer for a command."""
 
--- a/libs/cli/src/laburnumbridge/cli/fleet.py
+++ b/libs/cli/src/laburnumbridge/cli/fleet.py
@@ -11,10 +11,13 @@
 
 from pydantic import BaseModel
 
+from laburnumbridge.cli.errors import ListNotUsableError
 from laburnumbridge.cli.errors import NoProcessesError
 from laburnumbridge.cli.errors import OptionNeededError
 from laburnumbridge.cli.errors import PlatformNotReadError
+from laburnumbridge.cli.errors import TlsFilesNotUsableError
 from laburnumbridge.cli.input_file import read_input
+from laburnumbridge.lists import InvalidListError
 from laburnumbridge.lists import ServiceList
 from laburnumbridge.lists import VmList
 from laburnumbridge.lists import parse_list
@@ -26,6 +29,8 @@
 from laburnumbridge.wire import ChannelPool
 from laburnumbridge.wire import Endpoint
 from laburnumbridge.wire import FileCertificateSource
+from laburnumbridge.wire.errors import CertificateUnreadableError
+from laburnumbridge.wire.errors import InvalidCertificateError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -76,7 +81,7 @@
     @asynccontextmanager
     async def open(self, *, with_services: bool = False) -> AsyncIterator[Fleet]:
         """Open the fleet and close its connections at the end."""
-        pool = ChannelPool(source=self._certificates())
+        pool = self._open_pool()
         reader = GrpcFleetReader(pool=pool, timeout_s=self._options.timeout_s)
         try:
             vms = await self._read("vms", self._options.vms, VmList)
@@ -87,6 +92,13 @@
         finally:
             await reader.close()
 
+    def _open_pool(self) -> ChannelPool:
+        source = self._certificates()
+        try:
+            return ChannelPool(source=source)
+        except (CertificateUnreadableError, InvalidCertificateError) as error:
+            raise TlsFilesNotUsableError(reason=str(error)) from error
+
     def _certificates(self) -> FileCertificateSource:
         options = self._options
         purpose = "the processes accept calls over mutual TLS only"
@@ -112,13 +124,13 @@
 
     async def _read(self, name: str, file: Path | None, model: type[M]) -> M:
         if file is not None:
-            return parse_list(name, read_input(file), model)
+            return _parse(str(file), name, read_input(file), model)
         url = self._options.platform
         if url is None:
             raise OptionNeededError(
                 option=f"--{name}", purpose=f"without --platform the list of {name} is not known"
             )
-        return parse_list(name, await self._read_platform(url, name), model)
+        return _parse(url, name, await self._read_platform(url, name), model)
 
     async def _read_platform(self, url: str, name: str) -> bytes:
         client = PlatformClient(url=url)
@@ -132,3 +144,10 @@
         if published is None:
             raise PlatformNotReadError(reason=f"the platform at {url} has published no {name}")
         return published.payload
+
+
+def _parse(origin: str, name: str, data: bytes, model: type[M]) -> M:
+    try:
+        return parse_list(name, data, model)
+    except InvalidListError as error:
+        raise ListNotUsableError(origin=origin, reason=str(error)) from error
--- a/libs/cli/src/laburnumbridge/cli/status_tables.py
+++ b/libs/cli/src/laburnumbridge/cli/status_tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from rich.table import Table
@@ -17,6 +18,8 @@
     from laburnumbridge.cli.fleet_status import FleetStatus
 
 _DIGEST_SHOWN = 12
+# While a change spreads, a large fleet has hundreds of views for a moment.
+_VIEWS_SHOWN = 10
 
 
 def build_status_tables(status: FleetStatus) -> Iterator[Table]:
@@ -59,8 +62,10 @@
 
 
 def _versions(status: FleetStatus) -> Table:
+    groups_by_list = Counter(group.name for group in status.versions)
+    different = [name for name, groups in groups_by_list.items() if groups > 1]
     table = new_table(
-        "Versions in force",
+        f"Versions in force: {', '.join(different) or 'none'} different between processes",
         ("list", "version", "digest", "processes", "such as"),
         numbers=("version", "processes"),
     )
@@ -83,10 +88,14 @@
         else (f"Views of the membership: {len(status.views)} different ones")
     )
     table = new_table(title, ("digest", "processes", "states", "such as"), numbers=("processes",))
-    for group in status.views:
+    for group in status.views[:_VIEWS_SHOWN]:
         states = ", ".join(f"{count} {state}" for state, count in group.count_by_state.items())
         digest = group.digest[:_DIGEST_SHOWN]
         table.add_row(digest, str(group.processes), states, ", ".join(group.examples))
+    if len(status.views) > _VIEWS_SHOWN:
+        rest = status.views[_VIEWS_SHOWN:]
+        processes = sum(group.processes for group in rest)
+        table.add_row(f"{len(rest)} more", str(processes), "use --json for all of them", "")
     return table
 
 
--- a/libs/cli/src/laburnumbridge/cli/svg_chart.py
+++ b/libs/cli/src/laburnumbridge/cli/svg_chart.py
@@ -14,14 +14,14 @@
 # Lengths are in pixels of the drawing; the page scales it to its width.
 WIDTH = 720
 TITLE_HEIGHT = 46
-LABEL_WIDTH = 260
+LABEL_WIDTH = 290
 VALUE_WIDTH = 90
 ROW_HEIGHT = 24
 BAR_HEIGHT = 16
 PLOT_HEIGHT = 220
 MARGIN = 12
 # About 6.5 pixels a character at a font size of 12.
-LABEL_CHARACTERS = 38
+LABEL_CHARACTERS = 44
 
 # Okabe and Ito: distinguishable with the common kinds of colour blindness.
 COLOURS = ("#0072b2", "#d55e00", "#009e73", "#cc79a7", "#e69f00", "#56b4e9")
