--- a/libs/cli/tests/test_application.py
+++ b/libs/cli/tests/test_application.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import importlib
+import os
 import pkgutil
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -68,6 +69,10 @@
         assert output.err.count("\n") == 1
         assert output.err == snapshot
 
+    def test_grpc_writes_no_lines_of_its_own(self) -> None:
+        # Guards against a failed handshake that mixes other lines with errors and JSON logs.
+        assert "GRPC_VERBOSITY" in os.environ
+
     def test_ctrl_c_has_its_own_status(self, monkeypatch: pytest.MonkeyPatch) -> None:
         def interrupt(self: StatusCommand) -> None:
             raise KeyboardInterrupt
--- a/libs/cli/tests/test_fleet_commands.py
+++ b/libs/cli/tests/test_fleet_commands.py
@@ -16,10 +16,6 @@
 BURN = ["report", "burn"]
 
 
-def use(monkeypatch: pytest.MonkeyPatch, opener: FleetOpener) -> None:
-    monkeypatch.setattr(application, "GrpcFleetOpener", lambda options: opener)
-
-
 class TestFleetCommands:
     @pytest.mark.parametrize(
         "arguments",
@@ -34,7 +30,7 @@
         capsys: pytest.CaptureFixture[str],
         snapshot: SnapshotAssertion,
     ) -> None:
-        use(monkeypatch, opener)
+        monkeypatch.setattr(application, "GrpcFleetOpener", lambda options: opener)
         assert run(arguments) == 0
         assert capsys.readouterr().out == snapshot
 
@@ -47,6 +43,6 @@
         capsys: pytest.CaptureFixture[str],
     ) -> None:
         # Guards against a script that takes an unreachable fleet for an idle one.
-        use(monkeypatch, silent_opener)
+        monkeypatch.setattr(application, "GrpcFleetOpener", lambda options: silent_opener)
         assert run(arguments) == 3
         assert "none of 4 processes answered" in capsys.readouterr().err
--- a/libs/runtime/src/laburnumbridge/runtime/fleet_reader.py
+++ b/libs/runtime/src/laburnumbridge/runtime/fleet_reader.py
@@ -207,7 +207,9 @@
     def _describe(self, error: grpc.aio.AioRpcError) -> str:
         if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
             return f"no answer within {self._timeout_s:g} s"
-        details = " ".join((error.details() or "").split())
+        # The library puts its general remarks before the cause.
+        cause = (error.details() or "").rpartition("last error: ")[2]
+        details = " ".join(cause.split())
         return f"{error.code().name.lower()}: {details}" if details else error.code().name.lower()
 
 
