--- a/libs/membership/src/laburnumbridge/membership/life.py
+++ b/libs/membership/src/laburnumbridge/membership/life.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from laburnumbridge.core import Incarnation
 
-from typing import NamedTuple
 
 class Life(NamedTuple):
     """Start of a process (``incarnation``) and how often it has refuted an accusation since.
--- a/libs/membership/src/laburnumbridge/membership/liveness_record.py
+++ b/libs/membership/src/laburnumbridge/membership/liveness_record.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from laburnumbridge.core import ProcessId
-from laburnumbridge.membership.claim import Claim
-from laburnumbridge.membership.life import Life
-
 from dataclasses import dataclass
 
+from laburnumbridge.core import ProcessId
 from laburnumbridge.core import hash64
+from laburnumbridge.membership.claim import Claim
+from laburnumbridge.membership.life import Life
 
 # msgpack: array header, claim, 32-bit incarnation, refutation, two string headers.
 RECORD_FIXED_BYTES = 10
--- a/libs/membership/src/laburnumbridge/membership/messages.py
+++ b/libs/membership/src/laburnumbridge/membership/messages.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from laburnumbridge.membership.life import Life
-from laburnumbridge.membership.liveness_record import LivenessRecord
-
 from dataclasses import dataclass
 
 from laburnumbridge.core import ProcessId
+from laburnumbridge.membership.life import Life
+from laburnumbridge.membership.liveness_record import LivenessRecord
 
 # UDP/IP header, sender, counter and authentication tag of a sealed datagram.
 DATAGRAM_OVERHEAD_BYTES = 60
