--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,6 @@
 clean:
 	rm -rf build dist $(VENV)
 
-proto: setup
+proto:
 	$(BIN)/python -m grpc_tools.protoc -I libs/wire/src --python_out=libs/wire/src \
 		--pyi_out=libs/wire/src --grpc_python_out=libs/wire/src $(PROTO)
--- a/libs/runtime/src/laburnumbridge/runtime/agent_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/agent_process.py
@@ -31,6 +31,7 @@
 from laburnumbridge.runtime.request_runner import RequestRunner
 from laburnumbridge.runtime.upstream_client import HttpUpstreamClient
 from laburnumbridge.telemetry import Event
+from laburnumbridge.telemetry import UpstreamLoad
 from laburnumbridge.wire import Encapsulation
 from laburnumbridge.wire import Endpoint
 
@@ -50,7 +51,7 @@
 
     def __init__(self, *, settings: AgentSettings) -> None:
         self._settings = settings
-        self._core = ProcessCore(settings=settings)
+        self._core = ProcessCore(settings=settings, role="agent")
         self._upstream = HttpUpstreamClient(url=settings.upstream_url)
         self._leases = LeaseDriver(
             own=self._core.process_id, incarnation=self._core.incarnation, link=self._core.link
@@ -81,6 +82,7 @@
             on_leaving=self._start_drain,
         )
         self._fleet.start()
+        self._core.read_upstreams = self._read_upstreams
         self._core.view.listen(self._apply_list)
         self._apply_list("plans")
         self._leases.start()
@@ -179,6 +181,19 @@
             recorder=self._recorder,
         )
 
+    def _read_upstreams(self) -> tuple[UpstreamLoad, ...]:
+        if self._policy is None or self._runner is None:
+            return ()
+        snapshot = self._runner.admission_snapshot()
+        load = UpstreamLoad(
+            upstream=self._core.process_id,
+            service=self._settings.service,
+            open_flows=self._policy.open_flows,
+            busy_slots=snapshot.busy_slots,
+            accepting=not snapshot.is_draining,
+        )
+        return (load,)
+
     def _quic_configuration(self) -> QuicConfiguration:
         configuration = QuicConfiguration(
             is_client=False,
--- a/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
@@ -25,7 +25,7 @@
 
     def __init__(self, *, settings: BalancerSettings) -> None:
         self._settings = settings
-        self._core = ProcessCore(settings=settings)
+        self._core = ProcessCore(settings=settings, role="balancer")
         self._router: Router | None = None
         self._forwarder: BalancerForwarder | None = None
         self._process_by_endpoint: dict[Endpoint, ProcessId] = {}
--- a/libs/runtime/src/laburnumbridge/runtime/control_server.py
+++ b/libs/runtime/src/laburnumbridge/runtime/control_server.py
@@ -7,12 +7,14 @@
 import grpc
 
 from laburnumbridge.runtime.errors import AddressInUseError
+from laburnumbridge.telemetry.errors import InvalidSubjectError
 from laburnumbridge.wire import control_pb2
 from laburnumbridge.wire import control_pb2_grpc
 
 if TYPE_CHECKING:
     from laburnumbridge.runtime.configuration_driver import ConfigurationDriver
     from laburnumbridge.runtime.forwarded_requests import ForwardedRequests
+    from laburnumbridge.runtime.telemetry_service import TelemetryService
     from laburnumbridge.wire import Endpoint
     from laburnumbridge.wire import ServerCertificates
 
@@ -27,8 +29,10 @@
         *,
         configuration: ConfigurationDriver,
         forwarded: ForwardedRequests | None,
+        telemetry: TelemetryService,
     ) -> None:
         self._configuration = configuration
+        self._telemetry = telemetry
         self._forwarded = forwarded
 
     async def ForwardRequest(  # noqa: N802, named by the schema
@@ -54,6 +58,34 @@
         """Return a configuration value."""
         return self._configuration.answer_request(request)
 
+    async def Status(  # noqa: N802, named by the schema
+        self,
+        request: control_pb2.StatusRequest,
+        context: grpc.aio.ServicerContext[control_pb2.StatusRequest, control_pb2.JsonResponse],
+    ) -> control_pb2.JsonResponse:
+        """Return a snapshot without series."""
+        return control_pb2.JsonResponse(json=self._telemetry.status())
+
+    async def Metrics(  # noqa: N802, named by the schema
+        self,
+        request: control_pb2.MetricsRequest,
+        context: grpc.aio.ServicerContext[control_pb2.MetricsRequest, control_pb2.JsonResponse],
+    ) -> control_pb2.JsonResponse:
+        """Return a snapshot with series."""
+        return control_pb2.JsonResponse(json=self._telemetry.metrics())
+
+    async def Explain(  # noqa: N802, named by the schema
+        self,
+        request: control_pb2.ExplainRequest,
+        context: grpc.aio.ServicerContext[control_pb2.ExplainRequest, control_pb2.JsonResponse],
+    ) -> control_pb2.JsonResponse:
+        """Return the decisions about a subject."""
+        try:
+            return control_pb2.JsonResponse(json=self._telemetry.explain(request.subject))
+        except InvalidSubjectError as error:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+            raise
+
 
 class ControlServer:
     """Serves ``Control`` over mutual TLS at the control address."""
--- a/libs/runtime/src/laburnumbridge/runtime/fleet_view.py
+++ b/libs/runtime/src/laburnumbridge/runtime/fleet_view.py
@@ -6,6 +6,7 @@
 
 from laburnumbridge.core import AgentNumber
 from laburnumbridge.core import ServiceNumber
+from laburnumbridge.core import hash64
 from laburnumbridge.lists import GuestDirectory
 from laburnumbridge.lists import GuestList
 from laburnumbridge.lists import PlanList
@@ -33,6 +34,7 @@
 
     def __init__(self) -> None:
         self.version_by_name: dict[str, int] = dict.fromkeys(MODEL_BY_NAME, 0)
+        self.digest_by_name: dict[str, str] = dict.fromkeys(MODEL_BY_NAME, "")
         self.services: ServiceList | None = None
         self.guests: GuestList | None = None
         self.plans: PlanList | None = None
@@ -71,6 +73,7 @@
             self.directory = GuestDirectory(guests=parsed)
         setattr(self, name, parsed)
         self.version_by_name[name] = version
+        self.digest_by_name[name] = f"{hash64(payload):016x}"
         for listener in self._listeners:
             listener(name)
         return True
--- a/libs/runtime/src/laburnumbridge/runtime/process_core.py
+++ b/libs/runtime/src/laburnumbridge/runtime/process_core.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from laburnumbridge.core import Incarnation
 from laburnumbridge.core import ProcessId
+from laburnumbridge.core import hash64
 from laburnumbridge.membership import MemberState
 from laburnumbridge.runtime.configuration_driver import ConfigurationDriver
 from laburnumbridge.runtime.control_link import DatagramControlLink
@@ -15,10 +17,17 @@
 from laburnumbridge.runtime.fleet_view import FleetView
 from laburnumbridge.runtime.membership_driver import MembershipDriver
 from laburnumbridge.runtime.platform_client import PlatformClient
+from laburnumbridge.runtime.telemetry_service import TelemetryService
+from laburnumbridge.telemetry import Decision
 from laburnumbridge.telemetry import DecisionRing
 from laburnumbridge.telemetry import Event
 from laburnumbridge.telemetry import EventLog
+from laburnumbridge.telemetry import ListInForce
+from laburnumbridge.telemetry import MembershipSummary
 from laburnumbridge.telemetry import MetricRegistry
+from laburnumbridge.telemetry import MetricsEndpoint
+from laburnumbridge.telemetry import ProcessFacts
+from laburnumbridge.telemetry import SubjectKind
 from laburnumbridge.wire import ChannelPool
 from laburnumbridge.wire import Endpoint
 from laburnumbridge.wire import FileCertificateSource
@@ -26,8 +35,11 @@
 from laburnumbridge.wire import ServerCertificates
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from laburnumbridge.runtime.forwarded_requests import ForwardedRequests
     from laburnumbridge.settings import ProcessSettings
+    from laburnumbridge.telemetry import UpstreamLoad
 
 _USABLE_STATES = frozenset({MemberState.LIVE, MemberState.LEAVING, MemberState.SUSPECT})
 
@@ -35,8 +47,9 @@
 class ProcessCore:
     """Builds and owns the control plane of one process."""
 
-    def __init__(self, *, settings: ProcessSettings) -> None:
+    def __init__(self, *, settings: ProcessSettings, role: str) -> None:
         self.settings = settings
+        self._role = role
         self.process_id = ProcessId(settings.name)
         self.incarnation = Incarnation(int(time.time()))
         self.log = EventLog(process=settings.name, level=settings.log_level)
@@ -79,6 +92,12 @@
             channels=self.channels,
             log=self.log,
         )
+        self.telemetry = TelemetryService(
+            registry=self.metrics, ring=self.ring, read_facts=self._read_facts
+        )
+        self.read_upstreams: Callable[[], tuple[UpstreamLoad, ...]] = tuple
+        self._started_at = time.time()
+        self._endpoint: MetricsEndpoint | None = None
         self._server: ControlServer | None = None
         self.view.listen(self._on_list)
         self.membership.listen(self._on_members)
@@ -90,9 +109,14 @@
         self._server = ControlServer(
             address=Endpoint.parse(self.settings.control_address),
             certificates=ServerCertificates(source=self._certificates),
-            servicer=ControlServicer(configuration=self.configuration, forwarded=forwarded),
+            servicer=ControlServicer(
+                configuration=self.configuration,
+                forwarded=forwarded,
+                telemetry=self.telemetry,
+            ),
         )
         await self._server.start()
+        await self._start_metrics()
         self.membership.start()
         await self.configuration.start()
 
@@ -103,11 +127,52 @@
         if self._server is not None:
             await self._server.close()
         self.link.close()
+        if self._endpoint is not None:
+            await self._endpoint.close()
         await self.channels.close()
         await self._client.close()
         self.log.write(Event.PROCESS_STOPPED)
 
+    async def _start_metrics(self) -> None:
+        if self.settings.metrics_address is None:
+            return
+        address = Endpoint.parse(self.settings.metrics_address)
+        self._endpoint = MetricsEndpoint(
+            registry=self.metrics, host=address.host, port=address.port
+        )
+        await self._endpoint.start()
+
+    def _read_facts(self) -> ProcessFacts:
+        view = self.membership.view
+        states = {str(m.process_id): view.state(m.process_id).value for m in view.members()}
+        listed = "\n".join(f"{name}={state}" for name, state in sorted(states.items()))
+        return ProcessFacts(
+            name=self.settings.name,
+            role=self._role,
+            region=self.settings.region,
+            failure_domain=self.settings.failure_domain,
+            started_at=self._started_at,
+            lists=tuple(
+                ListInForce(name=name, version=version, digest=self.view.digest_by_name[name])
+                for name, version in self.view.version_by_name.items()
+            ),
+            membership=MembershipSummary(
+                digest=f"{hash64(listed.encode()):016x}",
+                count_by_state=dict(Counter(states.values())),
+            ),
+            upstreams=self.read_upstreams(),
+        )
+
     def _on_list(self, name: str) -> None:
+        self.ring.record(
+            Decision(
+                at=time.time(),
+                event=Event.LIST_IN_FORCE,
+                cause="a higher version was read or relayed",
+                subjects={SubjectKind.LIST_VERSION: f"{name}@{self.view.version_by_name[name]}"},
+                important=True,
+            )
+        )
         if name == "vms":
             self.membership.set_list(self.view.version_by_name["vms"], self.view.vms)
 
--- a/libs/runtime/src/laburnumbridge/runtime/request_recorder.py
+++ b/libs/runtime/src/laburnumbridge/runtime/request_recorder.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from laburnumbridge.telemetry import BROKEN_FLOWS
 from laburnumbridge.telemetry import Decision
 from laburnumbridge.telemetry import Event
 from laburnumbridge.telemetry import Outcome
@@ -76,7 +77,7 @@
 
     def flow_closed(self, flow: str, reason: str, *, broken: bool) -> None:
         """Record the end of a flow; ``broken`` where neither end closed it in order."""
-        self._metrics.count("flows_broken" if broken else "flows_closed")
+        self._metrics.count(BROKEN_FLOWS if broken else "flows_closed")
         subjects = {SubjectKind.FLOW: flow}
         self._record(Event.FLOW_CLOSED, reason, subjects, important=broken)
 
--- a/libs/runtime/src/laburnumbridge/runtime/request_runner.py
+++ b/libs/runtime/src/laburnumbridge/runtime/request_runner.py
@@ -94,6 +94,10 @@
         actions = self._admission.handle(event, self._now())
         return [action for action in actions if not self._apply_admission(action)]
 
+    def admission_snapshot(self) -> adm.AdmissionSnapshot:
+        """Return the counts of the upstream's admission."""
+        return self._admission.snapshot()
+
     def set_agents(self, event: req.AgentSetChanged) -> None:
         """Replace the agents of the service."""
         self._decide(event)
--- a/libs/wire/tests/test_mutual_tls.py
+++ b/libs/wire/tests/test_mutual_tls.py
@@ -79,11 +79,11 @@
         self.released = asyncio.Event()
 
     async def Explain(self, request, context):  # noqa: N802
-        self.payloads.append(request.identifier.encode())
-        if request.identifier == "slow":
+        self.payloads.append(request.subject.encode())
+        if request.subject == "slow":
             self.started.set()
             await self.released.wait()
-        return control_pb2.JsonResponse(json=request.identifier.encode())
+        return control_pb2.JsonResponse(json=request.subject.encode())
 
 
 class Link:
@@ -99,7 +99,7 @@
 
     async def call(self, pool: ChannelPool, payload: bytes = b"x") -> bytes:
         stub = control_pb2_grpc.ControlStub(pool.channel(self.endpoint))
-        answer = await stub.Explain(control_pb2.ExplainRequest(identifier=payload.decode()))
+        answer = await stub.Explain(control_pb2.ExplainRequest(subject=payload.decode()))
         return answer.json
 
 
