Report load to siblings soon after it changes

Cause: siblings heard of new flows once a second, and a burst of connections within that second went by the hash alone. An agent now reports within 0.2 s of a change, and once a second otherwise.

--- a/libs/runtime/src/laburnumbridge/runtime/placement_policy.py
+++ b/libs/runtime/src/laburnumbridge/runtime/placement_policy.py
@@ -19,6 +19,9 @@
     from laburnumbridge.runtime.control_link import ControlLink
     from laburnumbridge.wire import Endpoint
 
+# Siblings hear of changes within this time. A burst of new flows otherwise goes by the hash
+# alone until the next report, as each agent sees only its own part of the burst.
+CHANGE_INTERVAL_S = 0.2
 REPORT_INTERVAL_S = 1.0
 
 
@@ -41,7 +44,9 @@
         self._endpoint_by_number: dict[AgentNumber, Endpoint] = {}
         self._number_by_process: dict[ProcessId, AgentNumber] = {}
         self._state_by_number: dict[AgentNumber, plc.SiblingState] = {}
-        self._timer = PeriodicTimer(interval_s=REPORT_INTERVAL_S, callback=self._report)
+        self._timer = PeriodicTimer(interval_s=CHANGE_INTERVAL_S, callback=self._report)
+        self._reported_flows = 0
+        self._reported_at = 0.0
         self.open_flows = 0
         self.handed_off = 0
         link.register(MessageKind.LOAD_REPORT, plc.LoadReport, self._on_report)
@@ -110,7 +115,13 @@
 
     def _report(self) -> None:
         self._tell(plc.Tick())
-        report = self._placement.load_report(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        is_changed = self.open_flows != self._reported_flows
+        if not is_changed and now - self._reported_at < REPORT_INTERVAL_S:
+            return
+        self._reported_flows = self.open_flows
+        self._reported_at = now
+        report = self._placement.load_report(now)
         for process_id in self._number_by_process:
             self._link.send(process_id, report)
 
