Add a soak run with churn

make soak holds 200 flows for ten minutes while balancers are killed and replaced and an upstream drains and returns as a new VM, and writes flows held, broken and moved, doubled requests and the growth of resident memory.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,10 @@
 demo: setup
 	$(BIN)/python -m laburnumbridge.standins.demo
 
+soak: setup
+	mkdir -p build
+	$(BIN)/python -m laburnumbridge.standins.soak build/soak.json
+
 clean:
 	rm -rf build dist $(VENV)
 
--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/soak.py
@@ -0,0 +1,165 @@
+"""Ten minutes of churn: what guests experience and how the memory of the processes grows."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+import typer
+
+from laburnumbridge.standins.guest_fleet import GuestFleet
+from laburnumbridge.standins.harness import Harness
+
+STEP_S = 15.0
+SAMPLE_S = 30.0
+FABRIC_NOTICE_S = 1.0
+
+_PAGE_KB = 4
+
+
+class Soak:
+    """Changes the fleet every few seconds while guests hold flows and send requests."""
+
+    def __init__(self, *, harness: Harness, flows: int) -> None:
+        self._harness = harness
+        self._fleet = GuestFleet(
+            harness=harness, service="workshop-desk", flows=flows, requests_per_s=20
+        )
+        self._rss_kb: dict[str, list[int]] = {}
+        self._absent: tuple[str, ...] = ()
+
+    async def run(self, seconds: float) -> dict[str, object]:
+        """Run and return the figures."""
+        await self._harness.start()
+        await self._fleet.start()
+        sampler = asyncio.create_task(self._sample())
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        round_number = 0
+        while loop.time() < until:
+            await self._change(round_number)
+            round_number += 1
+            await asyncio.sleep(STEP_S)
+        sampler.cancel()
+        await self._fleet.close()
+        return await self._figures(seconds, round_number)
+
+    async def _change(self, number: int) -> None:
+        """Replace a balancer, change the plans, or drain an upstream and bring it back."""
+        match number % 4:
+            case 0:
+                await self._kill_balancer(f"balancer-{number // 4 % 3 + 1}")
+            case 1:
+                await self._return_balancers()
+            case 2:
+                await self._harness.publish("plans")
+                await self._set_state("workshop-desk-2", "leaving")
+            case _:
+                await self._set_state("workshop-desk-2", "live")
+
+    async def _kill_balancer(self, name: str) -> None:
+        self._harness.signal(name, signal.SIGKILL)
+        self._absent = (name,)
+        await asyncio.sleep(FABRIC_NOTICE_S)
+        await self._harness.publish_balancers(without=self._absent)
+        await self._harness.publish_vms(without=self._absent)
+
+    async def _return_balancers(self) -> None:
+        for name in self._absent:
+            machine = self._harness.machines_by_name[name]
+            self._harness.start_machine(machine)
+            await self._harness.wait_ready(machine)
+        self._absent = ()
+        await self._harness.publish_balancers()
+        await self._harness.publish_vms()
+
+    async def _set_state(self, name: str, state: str) -> None:
+        machine = self._harness.machines_by_name[name]
+        if state == "live":
+            # A returning VM is a new one: its agent starts again with a new incarnation.
+            self._harness.signal(name, signal.SIGTERM)
+            for process in machine.processes:
+                await asyncio.to_thread(process.wait)
+            machine.state = state
+            self._harness.start_machine(machine)
+            await self._harness.wait_ready(machine)
+        machine.state = state
+        await self._harness.publish_vms(without=self._absent)
+
+    async def _sample(self) -> None:
+        while True:
+            await asyncio.sleep(SAMPLE_S)
+            for name, machine in self._harness.machines_by_name.items():
+                process = machine.processes[-1]
+                statm = Path(f"/proc/{process.pid}/statm")
+                if process.poll() is None and statm.exists():
+                    resident = int(statm.read_text().split()[1]) * _PAGE_KB
+                    self._rss_kb.setdefault(name, []).append(resident)
+
+    async def _figures(self, seconds: float, changes: int) -> dict[str, object]:
+        runs: Counter[str] = Counter()
+        for name, machine in self._harness.machines_by_name.items():
+            if machine.service == "workshop-desk":
+                runs.update(await self._harness.upstream_runs(name))
+        seen = self._fleet.seen
+        steady = ("workshop-desk-1", "workshop-desk-5")
+        return {
+            "seconds": seconds,
+            "changes": changes,
+            "flows_opened": seen.opened,
+            "flows_broken": seen.broken,
+            "break_reasons": dict(seen.break_reasons),
+            "flows_moved": seen.moved,
+            "wrong_service": seen.wrong_service,
+            "readings_sent": seen.readings_sent,
+            "readings_answered": seen.readings_answered,
+            "requests_run": seen.requests_run,
+            "requests_unknown": seen.requests_unknown,
+            "answers_cut": seen.requests_cut,
+            "refused": dict(seen.refused_by_reason),
+            "requests_doubled": sum(count > 1 for count in runs.values()),
+            "imbalance_at_end": round(seen.imbalance, 3),
+            "rss_kb": {name: self._rss_kb.get(name, []) for name in steady},
+            "rss_slope_kb_per_minute": {
+                name: round(_slope(self._rss_kb.get(name, [])) * 60 / SAMPLE_S, 1)
+                for name in steady
+            },
+        }
+
+
+def _slope(samples: list[int]) -> float:
+    """Return the least-squares growth for each sample, the first (warm-up) sample left out."""
+    settled = samples[1:]
+    if len(settled) < 2:
+        return 0.0
+    middle = (len(settled) - 1) / 2
+    mean = sum(settled) / len(settled)
+    top = sum((x - middle) * (y - mean) for x, y in enumerate(settled))
+    return top / sum((x - middle) ** 2 for x in range(len(settled)))
+
+
+async def soak(seconds: float, flows: int) -> dict[str, object]:
+    """Run in a temporary folder."""
+    with tempfile.TemporaryDirectory() as folder:
+        harness = Harness(folder=Path(folder))
+        try:
+            return await Soak(harness=harness, flows=flows).run(seconds)
+        finally:
+            await harness.close()
+
+
+def main(output: Path, seconds: float = 600.0, flows: int = 200) -> None:
+    """Write the figures as JSON; the exit status is 0 only if no flow broke and none doubled."""
+    figures = asyncio.run(soak(seconds, flows))
+    output.write_text(json.dumps(figures, indent=2) + "\n")
+    typer.echo(output.read_text())
+    sys.exit(1 if figures["flows_broken"] or figures["requests_doubled"] else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
