--- a/libs/runtime/src/laburnumbridge/runtime/control_link.py
+++ b/libs/runtime/src/laburnumbridge/runtime/control_link.py
@@ -82,6 +82,11 @@
         self._decoder_by_kind[kind] = msgspec.msgpack.Decoder(message_type)
         self._handler_by_kind[kind] = handler
 
+    @property
+    def local(self) -> Endpoint:
+        """The bound address; the port is known after ``start``."""
+        return self._socket.local
+
     def start(self) -> None:
         """Bind the control address."""
         self._socket.start()
--- a/libs/standins/src/laburnumbridge/standins/benchmarks/handshake.py
+++ b/libs/standins/src/laburnumbridge/standins/benchmarks/handshake.py
@@ -41,6 +41,14 @@
 
     def run(self) -> Mapping[str, Figure]:
         """Measure the mean over HANDSHAKES."""
+        spent = [seconds for seconds, _ in self._handshakes(HANDSHAKES)]
+        return {"handshake_server_ms": round(sum(spent) / len(spent) * 1000, 3)}
+
+    def open_servers(self, count: int) -> list[object]:
+        """Return the server's ends of ``count`` open connections."""
+        return [server for _, server in self._handshakes(count)]
+
+    def _handshakes(self, count: int) -> list[tuple[float, object]]:
         issuer = ConnectionIdIssuer(
             codec=make_codec(),
             agent_number=AgentNumber(1),
@@ -57,18 +65,17 @@
             server_configuration.load_cert_chain(certificate, key)
             client_configuration = QuicConfiguration(alpn_protocols=H3_ALPN, server_name="service")
             client_configuration.load_verify_locations(cafile=str(root))
-            spent = [
+            return [
                 self._shake(client_configuration, server_configuration, issuer)
-                for _ in range(HANDSHAKES)
+                for _ in range(count)
             ]
-        return {"handshake_server_ms": round(sum(spent) / len(spent) * 1000, 3)}
 
     def _shake(
         self,
         client_configuration: QuicConfiguration,
         server_configuration: QuicConfiguration,
         issuer: ConnectionIdIssuer,
-    ) -> float:
+    ) -> tuple[float, object]:
         client = QuicConnection(configuration=client_configuration)
         client.connect(_SERVER, now=0.0)
         spent = 0.0
@@ -90,4 +97,4 @@
             for data in answers:
                 client.receive_datagram(data, _SERVER, now=now)
             now += 0.001
-        return spent
+        return spent, server
