Reset flows of a suspected agent when its death is confirmed

Cause: a stopped VM answers nothing, so a guest's retransmissions double their distance. When the agent's death was confirmed after about 2.5 s, a guest that had just retransmitted stayed silent for up to 2 s more before a balancer could send it a reset. Packets to agents without suspicion cost one lookup in an empty set.

--- a/libs/runtime/src/laburnumbridge/runtime/balancer_forwarder.py
+++ b/libs/runtime/src/laburnumbridge/runtime/balancer_forwarder.py
@@ -7,7 +7,9 @@
 
 from laburnumbridge.routing import Drop
 from laburnumbridge.routing import RouteToAgent
+from laburnumbridge.routing import SendStatelessReset
 from laburnumbridge.runtime.stateless_reset import build_stateless_reset
+from laburnumbridge.runtime.suspect_packets import SuspectPackets
 from laburnumbridge.runtime.udp_socket import UdpSocket
 from laburnumbridge.wire import Endpoint
 from laburnumbridge.wire import FrameKind
@@ -15,6 +17,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
     from collections.abc import Mapping
 
     from laburnumbridge.core import AgentNumber
@@ -34,21 +37,36 @@
         self._forwarder = forwarder
         self._service_number = service_number
         self._header_by_guest: dict[tuple[str, int], bytes] = {}
+        self._suspect_packets = SuspectPackets()
         self.socket = UdpSocket(address=address, on_datagram=self._on_datagram)
 
+    def set_suspects(self, suspects: Iterable[AgentNumber]) -> None:
+        """Replace the suspected agents; flows of those found gone get their resets at once."""
+        for guest, packet in self._suspect_packets.set_suspects(suspects):
+            decision = self._forwarder.router.route(packet, self._service_number)
+            if isinstance(decision, SendStatelessReset):
+                self._send_reset(decision, packet, guest)
+
     def _on_datagram(self, data: bytes, guest: tuple[str, int]) -> None:
         forwarder = self._forwarder
         decision = forwarder.router.route(data, self._service_number)
         if isinstance(decision, RouteToAgent):
             header = self._header_by_guest.get(guest) or self._build_header(guest)
             forwarder.send_to_agent(header + data, decision.agent_number)
+            if decision.agent_number in self._suspect_packets.suspects:
+                self._suspect_packets.keep(decision.agent_number, guest, data)
             return
         if isinstance(decision, Drop):
             forwarder.dropped[decision.reason.value] += 1
             return
-        reset = build_stateless_reset(token=decision.token, triggering_bytes=len(data))
+        self._send_reset(decision, data, guest)
+
+    def _send_reset(
+        self, decision: SendStatelessReset, trigger: bytes, guest: tuple[str, int]
+    ) -> None:
+        reset = build_stateless_reset(token=decision.token, triggering_bytes=len(trigger))
         if reset is not None:
-            forwarder.resets_sent += 1
+            self._forwarder.resets_sent += 1
             self.socket.send(reset, guest)
 
     def _build_header(self, guest: tuple[str, int]) -> bytes:
@@ -91,6 +109,12 @@
         """Replace the addresses of the agents."""
         self._endpoint_by_agent = dict(endpoint_by_agent)
 
+    def set_suspects(self, suspects: Iterable[AgentNumber]) -> None:
+        """Replace the suspected agents, after the router has its new routes."""
+        suspected = frozenset(suspects)
+        for service in self._service_sockets.values():
+            service.set_suspects(suspected)
+
     def start(self) -> None:
         """Bind all addresses."""
         self._agent_socket.start()
--- a/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from laburnumbridge.core import ProcessId
+from laburnumbridge.routing import AgentState
 from laburnumbridge.routing import Router
 from laburnumbridge.runtime.balancer_forwarder import BalancerForwarder
 from laburnumbridge.runtime.errors import UnknownServiceError
@@ -87,9 +88,9 @@
         self._apply_routes()
 
     def _apply_routes(self) -> None:
-        if self._router is None:
+        if self._router is None or self._forwarder is None:
             return
-        self._router.set_routes(
-            routes=build_routes(self._core.view, self._core.membership.view),
-            services=self._core.view.service_numbers().values(),
-        )
+        routes = build_routes(self._core.view, self._core.membership.view)
+        self._router.set_routes(routes=routes, services=self._core.view.service_numbers().values())
+        suspects = [r.agent_number for r in routes if r.state is AgentState.SUSPECT]
+        self._forwarder.set_suspects(suspects)
