Extend the stand-ins for tests of requests and failures

Cause: tests need an upstream that dies alone, work and answers of a chosen length, loss in both directions, and the versions that each process has in force. Change: the harness kills and restarts an upstream without its agent and reads list_in_force from the logs; the upstream takes work_ms and pause_ms; the fabric loses answers too, not only packets from guests.

--- a/libs/standins/src/laburnumbridge/standins/fabric.py
+++ b/libs/standins/src/laburnumbridge/standins/fabric.py
@@ -25,14 +25,16 @@
 class GuestPort:
     """The socket that speaks to the balancers for one guest."""
 
-    def __init__(self, *, entry: ServiceEntry, guest: Endpoint) -> None:
+    def __init__(self, *, fabric: FabricStandIn, entry: ServiceEntry, guest: Endpoint) -> None:
+        self._fabric = fabric
         self._entry = entry
         self._guest = guest
         host = entry.address.host
         self.socket = UdpSocket(address=Endpoint(host, 0), on_datagram=self._on_answer)
 
     def _on_answer(self, data: bytes, _address: tuple[str, int]) -> None:
-        self._entry.socket.send(data, self._guest)
+        if not self._fabric.is_lost():
+            self._entry.socket.send(data, self._guest)
 
 
 class ServiceEntry:
@@ -50,7 +52,7 @@
         if port is None:
             if len(self._port_by_guest) >= MAX_GUESTS:
                 return
-            port = GuestPort(entry=self, guest=Endpoint(*guest))
+            port = GuestPort(fabric=self._fabric, entry=self, guest=Endpoint(*guest))
             port.socket.start()
             self._port_by_guest[guest] = port
         balancer = self._fabric.choose(self._service)
@@ -68,10 +70,14 @@
         self._balancers_by_service: dict[str, dict[str, Endpoint]] = {}
         self._entries: list[ServiceEntry] = []
 
+    def is_lost(self) -> bool:
+        """Decide whether a datagram, in either direction, is lost."""
+        return self._random.random() < self._loss
+
     def choose(self, service: str) -> Endpoint | None:
         """Return the balancer for a datagram, or None where it is lost."""
         balancers = self._balancers_by_service.get(service, {})
-        if not balancers or self._random.random() < self._loss:
+        if not balancers or self.is_lost():
             return None
         name = self._random.choice(list(balancers))
         return None if name in self._cut else balancers[name]
--- a/libs/standins/src/laburnumbridge/standins/harness.py
+++ b/libs/standins/src/laburnumbridge/standins/harness.py
@@ -136,15 +136,23 @@
             ]
             return
         settings = self._write(f"{machine.name}.json", self._agent_settings(machine))
-        upstream = [machine.host, str(HTTP_PORT), machine.name, str(machine.service)]
-        work = ["--work-ms", str(self._work_ms)]
         machine.processes = [
-            self._run(
-                f"{machine.name}-upstream", "laburnumbridge.standins.upstream", *upstream, *work
-            ),
+            self._run_upstream(machine),
             self._run(machine.name, "laburnumbridge.cli", "agent", settings),
         ]
 
+    def kill_upstream(self, name: str) -> None:
+        """Kill the upstream of a VM; its agent lives on."""
+        upstream = self.machines_by_name[name].processes[0]
+        upstream.kill()
+        upstream.wait()
+
+    async def restart_upstream(self, name: str) -> None:
+        """Start the upstream of a VM again and wait until it listens; its counts begin anew."""
+        machine = self.machines_by_name[name]
+        machine.processes[0] = self._run_upstream(machine)
+        await self._wait_http(machine.host)
+
     async def wait_ready(self, machine: Machine) -> None:
         """Wait until a VM's own process has logged that it serves."""
         log = self._folder / f"{machine.name}.log"
@@ -167,14 +175,31 @@
         index = sum(m.role == "balancer" for m in self.machines_by_name.values())
         return self._add_balancer(index)
 
-    async def publish_vms(self, *, without: tuple[str, ...] = ()) -> None:
-        """Publish the list of VMs."""
+    async def publish_vms(self, *, without: tuple[str, ...] = ()) -> int:
+        """Publish the list of VMs and return its version."""
         self.lists["vms"] = self._vm_list(without)
-        await self.publish("vms")
-
-    async def publish(self, name: str) -> None:
-        """Publish one list as it stands in ``lists``."""
-        await self._put(f"{self._prefix}.0.1", f"values/{name}", self.lists[name])
+        return await self.publish("vms")
+
+    async def publish(self, name: str) -> int:
+        """Publish one list as it stands in ``lists`` and return its version."""
+        answer = await self._put(f"{self._prefix}.0.1", f"values/{name}", self.lists[name])
+        return int(json.loads(answer)["version"])
+
+    def versions_in_force(self, name: str) -> dict[str, list[int]]:
+        """Versions of a list that each process has put in force, in order, from the logs."""
+        versions_by_process: dict[str, list[int]] = {}
+        for process in self.machines_by_name:
+            # The last line may still be in the writing.
+            lines = (self._folder / f"{process}.log").read_text().split("\n")[:-1]
+            events = [json.loads(line) for line in lines if '"list_in_force"' in line]
+            versions_by_process[process] = [e["version"] for e in events if e["list"] == name]
+        return versions_by_process
+
+    async def wait_in_force(self, name: str, version: int, *, timeout_s: float) -> None:
+        """Wait until every process has put a version of a list in force, or raise TimeoutError."""
+        async with asyncio.timeout(timeout_s):
+            while min(max(v, default=0) for v in self.versions_in_force(name).values()) < version:
+                await asyncio.sleep(_POLL_S)
 
     async def publish_balancers(self, *, without: tuple[str, ...] = ()) -> None:
         """Tell the fabric which balancers there are."""
@@ -343,6 +368,12 @@
                 [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
             )
 
+    def _run_upstream(self, machine: Machine) -> subprocess.Popen[bytes]:
+        own = [machine.host, str(HTTP_PORT), machine.name, str(machine.service)]
+        work = ["--work-ms", str(self._work_ms)]
+        name = f"{machine.name}-upstream"
+        return self._run(name, "laburnumbridge.standins.upstream", *own, *work)
+
     async def _wait_http(self, host: str) -> None:
         assert self._http is not None
         deadline = asyncio.get_running_loop().time() + READY_TIMEOUT_S
@@ -355,8 +386,9 @@
                     raise ProcessNotReadyError(name=host, reason="timeout") from None
                 await asyncio.sleep(_POLL_S)
 
-    async def _put(self, host: str, path: str, content: object) -> None:
+    async def _put(self, host: str, path: str, content: object) -> bytes:
         assert self._http is not None
         url = f"http://{host}:{HTTP_PORT}/operator/{path}"
         async with self._http.put(url, json=content) as answer:
             answer.raise_for_status()
+            return await answer.read()
--- a/libs/standins/src/laburnumbridge/standins/upstream.py
+++ b/libs/standins/src/laburnumbridge/standins/upstream.py
@@ -1,7 +1,8 @@
 """Stand-in for an upstream: streams, requests and faults on demand.
 
 ``/readings`` answers each line of the body with a line, ``/requests/<id>`` runs for ``work_ms``
-and counts how often each id ran, ``/documents/<bytes>`` sends that many bytes.
+(a query parameter overrides it) and counts how often each id ran, ``/documents/<bytes>`` sends
+that many bytes, with ``pause_ms`` (a query parameter) after each chunk.
 ``GET /operator/runs`` gives the counts and ``PUT /operator/faults`` sets ``{"shed": bool}``.
 """
 
@@ -61,19 +62,21 @@
         self._busy += 1
         self._busy_max = max(self._busy_max, self._busy)
         try:
-            await asyncio.sleep(self._work_s)
+            await asyncio.sleep(_query_seconds(request, "work_ms", self._work_s))
         finally:
             self._busy -= 1
         return web.json_response({"id": request_id}, headers=self._headers())
 
     async def _document(self, request: web.Request) -> web.StreamResponse:
         size = int(request.match_info["size"])
+        pause_s = _query_seconds(request, "pause_ms", 0.0)
         answer = web.StreamResponse(headers=self._headers())
         answer.content_length = size
         await answer.prepare(request)
         while size > 0:
             await answer.write(_CHUNK[:size])
             size -= len(_CHUNK)
+            await asyncio.sleep(pause_s)
         return answer
 
     async def _runs(self, _request: web.Request) -> web.Response:
@@ -84,6 +87,11 @@
         return web.Response()
 
 
+def _query_seconds(request: web.Request, name: str, default_s: float) -> float:
+    value = request.query.get(name)
+    return default_s if value is None else float(value) / 1000
+
+
 def main(host: str, port: int, name: str, service: str, work_ms: float = 20.0) -> None:
     """Serve as one upstream."""
     standin = UpstreamStandIn(name=name, service=service, work_ms=work_ms)
