Let the harness read versions of VMs that are not started yet

Cause: a test lists a VM before it starts it, so the VM has no log yet. Change: such a VM has no versions in force. Measured: test_list_changes passes with this.

--- a/libs/standins/src/laburnumbridge/standins/harness.py
+++ b/libs/standins/src/laburnumbridge/standins/harness.py
@@ -189,8 +189,9 @@
         """Versions of a list that each process has put in force, in order, from the logs."""
         versions_by_process: dict[str, list[int]] = {}
         for process in self.machines_by_name:
-            # The last line may still be in the writing.
-            lines = (self._folder / f"{process}.log").read_text().split("\n")[:-1]
+            # The last line may still be in the writing, and a VM may not have been started.
+            log = self._folder / f"{process}.log"
+            lines = log.read_text().split("\n")[:-1] if log.exists() else []
             events = [json.loads(line) for line in lines if '"list_in_force"' in line]
             versions_by_process[process] = [e["version"] for e in events if e["list"] == name]
         return versions_by_process
