Test list changes under platform faults and the rotation of routing keys

Cause: that a change survives an outage, that stale answers revert nothing and that a new routing key breaks no flow had no test on real processes. Change: three tests that share one harness of three upstreams and two balancers.

--- /dev/null
+++ b/libs/standins/tests/test_list_changes.py
@@ -0,0 +1,150 @@
+"""Changes of the lists while the platform fails, with processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+import pytest_asyncio
+
+from laburnumbridge.standins.guest import connect
+from laburnumbridge.standins.guest_fleet import GuestFleet
+from laburnumbridge.standins.harness import ROUTING_KEY
+from laburnumbridge.standins.harness import SERVER_NAME
+from laburnumbridge.standins.harness import Harness
+from laburnumbridge.standins.harness import ServicePlan
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+SERVICE = "workshop-desk"
+NEXT_ROUTING_KEY = "a1b2c3d4e5f60718293a4b5c6d7e8f90"
+# An accepted change is in force everywhere within this time.
+CHANGE_BOUND_S = 15.0
+# Longer than the time in which a change spreads while the platform answers.
+FAULT_S = 3.0
+FLOWS = 20
+# Bounds hanging only.
+HANG_S = 30.0
+
+
+@pytest_asyncio.fixture(scope="class", loop_scope="class")
+async def harness(tmp_path_factory: pytest.TempPathFactory) -> AsyncIterator[Harness]:
+    started = Harness(
+        folder=tmp_path_factory.mktemp("lists"),
+        services=(ServicePlan(name=SERVICE, upstreams=3),),
+        balancers=2,
+        network=235,
+    )
+    try:
+        await started.start()
+        yield started
+    finally:
+        await started.close()
+
+
+def limit_requests(harness: Harness, limit: int | None) -> None:
+    """Set the limit of the plan in the lists, without publishing it."""
+    plan = {"name": "standard", "services": [SERVICE], "concurrent_requests": limit}
+    harness.lists["plans"] = {"plans": [plan]}
+
+
+async def version_that_refuses(harness: Harness) -> int:
+    """Return the list version that a refusal names; the plan in force must allow no request."""
+    async with asyncio.timeout(HANG_S):
+        flow = await connect(
+            harness.service_address(SERVICE),
+            authority=harness.root_certificate,
+            server_name=SERVER_NAME,
+        )
+        head, _ = await flow.request("GET", "/requests/refused")
+        flow.leave()
+    assert "reason=plan_concurrency" in head["laburnumbridge-refusal"]
+    return int(head["laburnumbridge-refusal"].rpartition("version=")[2])
+
+
+def assert_never_reverted(harness: Harness, name: str) -> None:
+    for process, versions in harness.versions_in_force(name).items():
+        assert versions == sorted(set(versions)), process
+
+
+@pytest.mark.asyncio(loop_scope="class")
+class TestListChanges:
+    async def test_change_during_an_outage_comes_into_force_afterwards(
+        self, harness: Harness
+    ) -> None:
+        # Guards P8: readers that back off during an outage must still be in time after it.
+        await harness.set_platform_faults(down=True)
+        limit_requests(harness, 0)
+        version = await harness.publish("plans")
+        await asyncio.sleep(FAULT_S)
+        assert max(map(max, harness.versions_in_force("plans").values())) < version
+        await harness.set_platform_faults()
+        await harness.wait_in_force("plans", version, timeout_s=CHANGE_BOUND_S)
+        assert await version_that_refuses(harness) == version
+        assert_never_reverted(harness, "plans")
+
+    async def test_stale_answers_revert_nothing(self, harness: Harness) -> None:
+        # Guards P8: the platform offers the version before the one in force, also to a process
+        # that starts meanwhile.
+        limit_requests(harness, 0)
+        late = harness.add_balancer()
+        vms_version = await harness.publish_vms()
+        version = await harness.publish("plans")
+        await self._wait_others(harness, late.name, {"vms": vms_version, "plans": version})
+        await harness.set_platform_faults(stale=True)
+        try:
+            harness.start_machine(late)
+            await harness.wait_ready(late)
+            served_with = harness.versions_in_force("plans")[late.name][-1]
+            await harness.publish_balancers()
+            await asyncio.sleep(FAULT_S)
+            assert await version_that_refuses(harness) == version
+            limit_requests(harness, None)
+            newer = await harness.publish("plans")
+        finally:
+            await harness.set_platform_faults()
+        await harness.wait_in_force("plans", newer, timeout_s=CHANGE_BOUND_S)
+        for name in harness.lists:
+            assert_never_reverted(harness, name)
+        assert served_with == version
+
+    @staticmethod
+    async def _wait_others(harness: Harness, late: str, version_by_list: dict[str, int]) -> None:
+        async with asyncio.timeout(CHANGE_BOUND_S):
+            for name, version in version_by_list.items():
+                for process in set(harness.machines_by_name) - {late}:
+                    while version not in harness.versions_in_force(name)[process]:
+                        await asyncio.sleep(0.05)
+
+    async def test_key_rotation_breaks_no_flow(self, harness: Harness) -> None:
+        # Guards P1: flows keep connection IDs under the first key while the second is current,
+        # and those of the second must outlive the first.
+        before = GuestFleet(harness=harness, service=SERVICE, flows=FLOWS)
+        after = GuestFleet(harness=harness, service=SERVICE, flows=FLOWS)
+        try:
+            async with asyncio.timeout(HANG_S):
+                await before.start()
+            await self._publish_keys(harness, {1: ROUTING_KEY, 2: NEXT_ROUTING_KEY})
+            async with asyncio.timeout(HANG_S):
+                await after.start()
+            await asyncio.sleep(FAULT_S)
+            await before.close()
+            await self._publish_keys(harness, {2: NEXT_ROUTING_KEY})
+            await asyncio.sleep(FAULT_S)
+        finally:
+            await asyncio.gather(before.close(), after.close())
+        assert (before.seen.broken, after.seen.broken) == (0, 0)
+        assert after.seen.opened == FLOWS
+
+    @staticmethod
+    async def _publish_keys(harness: Harness, keys_by_number: dict[int, str]) -> None:
+        services = harness.lists["services"]
+        assert isinstance(services, dict)
+        services["routing_keys"] = [
+            {"number": number, "key": key, "current": number == max(keys_by_number)}
+            for number, key in keys_by_number.items()
+        ]
+        version = await harness.publish("services")
+        await harness.wait_in_force("services", version, timeout_s=CHANGE_BOUND_S)
