Enforce the ceilings of plans at the upstream

Cause: a plans list carries a ceiling for each plan, but admission ignored it, so one busy plan could hold every slot and connection of an upstream. Change: PlanSharesChanged carries ceiling_by_plan. A plan at its ceiling waits in the queue while others start; it saves up no claim meanwhile and keeps at most its fraction of the queue places, otherwise its waiting requests fill the queue while slots are free. Connections and streams beyond the ceiling are refused with plan_connections, queued excess with plan_concurrency.

--- a/libs/admission/src/laburnumbridge/admission/admission.py
+++ b/libs/admission/src/laburnumbridge/admission/admission.py
@@ -25,6 +25,7 @@
 from laburnumbridge.admission.events import RequestCancelled
 from laburnumbridge.admission.events import RequestFinished
 from laburnumbridge.admission.events import UpstreamStartedCold
+from laburnumbridge.admission.plan_ceilings import PlanCeilings
 from laburnumbridge.admission.plan_use import PlanUse
 from laburnumbridge.admission.request_queue import QueuedRequest
 from laburnumbridge.admission.request_queue import RequestQueue
@@ -47,6 +48,12 @@
     deadline: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Stream:
+    plan: PlanName
+    connection_id: ConnectionId | None
+
+
 class Admission:
     """Decides what one upstream takes on; its agent owns it.
 
@@ -57,11 +64,12 @@
     def __init__(self, *, settings: AdmissionSettings) -> None:
         self._settings = settings
         self._capacity = UpstreamCapacity(slots=settings.slots, slow_start_s=settings.slow_start_s)
-        self._places = ConnectionPlaces(limit=settings.connections)
+        self._ceilings = PlanCeilings()
+        self._places = ConnectionPlaces(limit=settings.connections, ceilings=self._ceilings)
         self._use = PlanUse()
         self._queue = RequestQueue(use=self._use)
         self._running_by_id: dict[RequestId, _Running] = {}
-        self._stream_by_id: dict[RequestId, ConnectionId | None] = {}
+        self._stream_by_id: dict[RequestId, _Stream] = {}
         self._probe_id: RequestId | None = None
         self._is_draining = False
         self._list_version: int | None = None
@@ -125,6 +133,7 @@
                 self._capacity.report_load(busy_slots=busy_slots, running=running, now=self._now)
             case PlanSharesChanged():
                 self._use.set_shares(event.guaranteed_share_by_plan)
+                self._ceilings.set_ceilings(event.ceiling_by_plan)
                 self._list_version = event.list_version
             case DrainStarted():
                 self._is_draining = True
@@ -138,7 +147,7 @@
         if self._is_draining:
             refusal = self._refusal(RefusalReason.DRAINING, event.plan)
             actions.append(RefuseConnection(connection_id, refusal))
-        elif not self._places.open(connection_id):
+        elif not self._places.open(connection_id, event.plan):
             actions.append(RefuseConnection(connection_id, self._no_place(event.plan)))
         else:
             actions.append(AcceptConnection(connection_id))
@@ -161,10 +170,11 @@
         if self._capacity.is_probing and not self._may_start():
             refusal = self._closed_refusal(event.plan)
             actions.append(RefuseRequest(event.request_id, refusal))
-        elif not self._places.open_stream(event.connection_id):
-            actions.append(RefuseRequest(event.request_id, self._no_place(event.plan)))
+        elif not self._places.open_stream(event.connection_id, event.plan):
+            plan = self._places.owner(event.connection_id, event.plan)
+            actions.append(RefuseRequest(event.request_id, self._no_place(plan)))
         else:
-            self._stream_by_id[event.request_id] = event.connection_id
+            self._stream_by_id[event.request_id] = _Stream(event.plan, event.connection_id)
             self._note_probe(event.request_id)
             actions.append(StartRequest(event.request_id))
 
@@ -188,7 +198,8 @@
     def _release(self, request_id: RequestId) -> bool:
         self._forget_probe(request_id)
         if request_id in self._stream_by_id:
-            self._places.close_stream(self._stream_by_id.pop(request_id))
+            stream = self._stream_by_id.pop(request_id)
+            self._places.close_stream(stream.connection_id, stream.plan)
             return True
         running = self._running_by_id.pop(request_id, None)
         if running is None:
@@ -205,7 +216,9 @@
 
     def _start_queued(self, actions: list[AdmissionAction]) -> None:
         while self._queue and self._may_start():
-            request = self._queue.take_next(self._now)
+            request = self._queue.take_next(self._now, may_start=self._is_below_ceiling)
+            if request is None:
+                return
             self._running_by_id[request.request_id] = _Running(request.plan, request.deadline)
             self._use.start(request.plan, self._now)
             self._note_probe(request.request_id)
@@ -220,11 +233,27 @@
             for request in self._queue.take_expired(closed_until):
                 refusal = self._closed_refusal(request.plan)
                 actions.append(RefuseRequest(request.request_id, refusal))
+        self._refuse_above_ceiling(actions)
         while len(self._queue) > self._settings.queue_limit:
             request = self._queue.take_excess()
-            refusal = self._closed_refusal(request.plan)
+            refusal = self._excess_refusal(request.plan)
             actions.append(RefuseRequest(request.request_id, refusal))
 
+    def _refuse_above_ceiling(self, actions: list[AdmissionAction]) -> None:
+        # Otherwise a plan that waits at its ceiling fills the queue, and slots that only other
+        # plans may use stay free.
+        for plan, queued in self._queue.queued_by_plan().items():
+            if self._is_below_ceiling(plan):
+                continue
+            limit = self._ceilings.limit(plan, total=self._settings.queue_limit)
+            for _ in range(queued - limit):
+                request = self._queue.take_latest(plan)
+                actions.append(RefuseRequest(request.request_id, self._ceiling_refusal(plan)))
+
+    def _is_below_ceiling(self, plan: PlanName) -> bool:
+        running = self._use.running(plan)
+        return not self._ceilings.is_reached(plan, used=running, total=self._settings.slots)
+
     def _may_start(self) -> bool:
         if self._capacity.is_probing and self._probe_id is not None:
             return False
@@ -253,7 +282,21 @@
         used = len(self._queue)
         return self._refusal(reason, plan, limit=self._settings.queue_limit, used=used)
 
+    def _excess_refusal(self, plan: PlanName) -> Refusal:
+        if self._is_below_ceiling(plan):
+            return self._closed_refusal(plan)
+        return self._ceiling_refusal(plan)
+
+    def _ceiling_refusal(self, plan: PlanName) -> Refusal:
+        limit = self._ceilings.limit(plan, total=self._settings.slots)
+        used = self._use.running(plan)
+        return self._refusal(RefusalReason.PLAN_CONCURRENCY, plan, limit=limit, used=used)
+
     def _no_place(self, plan: PlanName) -> Refusal:
+        if self._places.is_at_ceiling(plan):
+            limit = self._ceilings.limit(plan, total=self._settings.connections)
+            used = self._places.used_by(plan)
+            return self._refusal(RefusalReason.PLAN_CONNECTIONS, plan, limit=limit, used=used)
         limit = self._settings.connections
         used = self._places.used
         return self._refusal(RefusalReason.UPSTREAM_CONNECTIONS, plan, limit=limit, used=used)
--- a/libs/admission/src/laburnumbridge/admission/events.py
+++ b/libs/admission/src/laburnumbridge/admission/events.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import dataclass
+from dataclasses import field
 from enum import StrEnum
 from typing import TYPE_CHECKING
 from typing import NewType
@@ -95,9 +96,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlanSharesChanged:
-    """A plans list is in force; ``guaranteed_share_by_plan`` holds shares in 0..1."""
+    """A plans list is in force; shares and ceilings are fractions of the upstream in 0..1.
+
+    A plan without a ceiling may use all slots and connections.
+    """
 
     guaranteed_share_by_plan: dict[PlanName, float]
+    ceiling_by_plan: dict[PlanName, float] = field(default_factory=dict)
     list_version: int
 
 
--- a/libs/admission/src/laburnumbridge/admission/plan_use.py
+++ b/libs/admission/src/laburnumbridge/admission/plan_use.py
@@ -49,6 +49,10 @@
         """Take note that a plan with nothing waiting has a request now."""
         self._level_by_plan[plan] = max(self._level(plan), self._latest_level)
 
+    def forgo_claim(self, plan: PlanName) -> None:
+        """Take note that a waiting plan may not start now: this saves up no claim for later."""
+        self.begin_waiting(plan)
+
     def start(self, plan: PlanName, now: float) -> None:
         """Count a started request."""
         self.advance(now)
@@ -65,6 +69,10 @@
         if self._level(plan) <= self._latest_level:
             self._level_by_plan.pop(plan, None)
 
+    def running(self, plan: PlanName) -> int:
+        """Return the requests of the plan that have started and not ended."""
+        return self._running_by_plan[plan]
+
     def relative_use(self, plan: PlanName) -> float:
         """Return the use that decides who gets the next slot; the least goes first."""
         charge = RUNNING_CHARGE_S * self._running_by_plan[plan] / self._weight(plan)
--- a/libs/admission/src/laburnumbridge/admission/request_queue.py
+++ b/libs/admission/src/laburnumbridge/admission/request_queue.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from laburnumbridge.admission.plan_use import PlanUse
     from laburnumbridge.core import PlanName
     from laburnumbridge.core import RequestId
@@ -45,20 +47,42 @@
         """Take out a request, or return None if it does not wait."""
         return self._request_by_id.pop(request_id, None)
 
-    def take_next(self, now: float) -> QueuedRequest:
-        """Take the request of the plan with the least relative use, earliest deadline first."""
+    def take_next(
+        self, now: float, *, may_start: Callable[[PlanName], bool]
+    ) -> QueuedRequest | None:
+        """Take the request of the plan with the least relative use, earliest deadline first.
+
+        Plans for which ``may_start`` is false are passed over; None if no other plan waits.
+        """
         self._use.advance(now)
+        plans = {request.plan for request in self._request_by_id.values()}
+        startable = {plan for plan in plans if may_start(plan)}
+        for plan in plans - startable:
+            self._use.forgo_claim(plan)
         chosen = min(
-            self._request_by_id.values(),
+            (request for request in self._request_by_id.values() if request.plan in startable),
             key=lambda request: (self._use.relative_use(request.plan), request.deadline),
+            default=None,
+        )
+        return None if chosen is None else self._request_by_id.pop(chosen.request_id)
+
+    def take_latest(self, plan: PlanName) -> QueuedRequest:
+        """Take the plan's request with the latest deadline, the newest of several."""
+        chosen = max(
+            (item for item in reversed(self._request_by_id.values()) if item.plan == plan),
+            key=lambda request: request.deadline,
         )
         return self._request_by_id.pop(chosen.request_id)
 
+    def queued_by_plan(self) -> Counter[PlanName]:
+        """Return how many requests of each plan wait."""
+        return Counter(request.plan for request in self._request_by_id.values())
+
     def take_excess(self) -> QueuedRequest:
         """Take the request to drop: greatest relative use, then latest deadline, then newest."""
-        queued_by_plan = Counter(request.plan for request in self._request_by_id.values())
         held_by_plan = {
-            plan: self._use.held(plan, queued=queued) for plan, queued in queued_by_plan.items()
+            plan: self._use.held(plan, queued=queued)
+            for plan, queued in self.queued_by_plan().items()
         }
         chosen = max(
             reversed(self._request_by_id.values()),
