Pass the ceilings of the plans list to admission

Cause: the agent told admission of the guaranteed shares only. Change: it passes each plan's ceiling with the same event.

--- a/libs/runtime/src/laburnumbridge/runtime/agent_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/agent_process.py
@@ -216,7 +216,10 @@
             version = view.version_by_name["plans"]
             self._leases.set_plans(version, view.plans)
             shares = {PlanName(plan.name): plan.guaranteed_share for plan in view.plans.plans}
-            changed = adm.PlanSharesChanged(guaranteed_share_by_plan=shares, list_version=version)
+            ceilings = {PlanName(plan.name): plan.ceiling for plan in view.plans.plans}
+            changed = adm.PlanSharesChanged(
+                guaranteed_share_by_plan=shares, ceiling_by_plan=ceilings, list_version=version
+            )
             self._runner.tell_admission(changed)
 
     def _ask_to_reconnect(self, count: int) -> None:
