--- /dev/null
+++ b/scenarios/conftest.py
@@ -0,0 +1,6 @@
+"""Makes the steps of every library available to every feature."""
+
+from __future__ import annotations
+
+from scenarios.steps.admission import *  # noqa: F403
+from scenarios.steps.requests import *  # noqa: F403
--- /dev/null
+++ b/scenarios/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps by library, each over one shared world."""
