--- a/scenarios/steps/requests.py
+++ b/scenarios/steps/requests.py
@@ -222,3 +222,8 @@
     assert [fleet.false_not_run for fleet in requests_world.fleets] == [0] * len(
         requests_world.fleets
     )
+
+
+@then("the answer that the guest sees is the sibling's")
+def answer_of_sibling(requests_world: RequestsWorld) -> None:
+    assert requests_world.of(rq.StartAnswer) == [rq.StartAnswer(ID, 200)]
