Move a request that its upstream can't take to a sibling

Cause: a request refused by its own agent's full queue went to the guest as queue_full while the other upstreams of the service had room, because the move counted against the retry budget. Nothing has been sent at that point, so the first move now needs no budget; further ones do. Also: the runner kept the record of a keyed run for ever when its guest had left; the upstream is watched for a stop and a cold start; busy slots reach placement; retries and shed requests are logged and recorded; the set of agents counts as uncertain once the list of VMs is older than 15 s.

--- a/libs/configuration/src/laburnumbridge/configuration/configuration_relay.py
+++ b/libs/configuration/src/laburnumbridge/configuration/configuration_relay.py
@@ -97,6 +97,10 @@
         """Return the version in force, or 0."""
         return self._state(name).version
 
+    def confirmed_age_s(self, name: str, now: float) -> float:
+        """Return how many seconds ago a read of the platform last confirmed the value."""
+        return now - self._state(name).confirmations.heard_at
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Process one event at ``now`` (monotonic seconds).
 
--- a/libs/requests/src/laburnumbridge/requests/request_coordinator.py
+++ b/libs/requests/src/laburnumbridge/requests/request_coordinator.py
@@ -32,15 +32,16 @@
 GATEWAY_TIMEOUT_STATUS = 504
 KEY_CONFLICT_STATUS = 422  # draft-ietf-httpapi-idempotency-key-header, section 2.7
 
-# Refusals that say nothing about the other upstreams of the service.
-_OWN_UPSTREAM_REASONS = frozenset(
+# Refusals that come before anything is sent and say nothing about the service's other upstreams.
+_UNSENT_REASONS = frozenset(
     {
         RefusalReason.COLD_START,
+        RefusalReason.DRAINING,
         RefusalReason.NO_UPSTREAM,
         RefusalReason.QUEUE_FULL,
-        RefusalReason.UPSTREAM_SHEDDING,
     }
 )
+_OWN_UPSTREAM_REASONS = _UNSENT_REASONS | {RefusalReason.UPSTREAM_SHEDDING}
 _NO_UPSTREAM = Refusal(reason=RefusalReason.NO_UPSTREAM)
 _QUEUE_FULL = Refusal(reason=RefusalReason.QUEUE_FULL)
 
@@ -188,13 +189,14 @@
         return [act.SendUpstream(event.request_id, request.remaining_ms(now))]
 
     def _place_elsewhere(self, request: TrackedRequest, refusal: Refusal, now: float) -> Actions:
-        """Try a sibling before a guest is refused for the state of this one upstream."""
-        if refusal.reason is RefusalReason.DRAINING:
-            moved = self._retry(request, now, is_budgeted=False)
-            return moved or self._refuse(request, refusal, now)
-        if refusal.reason in _OWN_UPSTREAM_REASONS:
-            return self._retry_unrun(request, refusal, now)
-        return self._refuse(request, refusal, now)
+        """Try a sibling before a guest is refused for the state of this one upstream.
+
+        The first move needs no budget: no upstream has seen the request, so none gets more work.
+        """
+        if refusal.reason not in _OWN_UPSTREAM_REASONS:
+            return self._refuse(request, refusal, now)
+        moved = self._retry(request, now, is_budgeted=False)
+        return moved or self._refuse(request, refusal, now)
 
     def _hear_upstream(
         self, event: ev.RequestEvent, request: TrackedRequest, now: float
@@ -246,7 +248,7 @@
         unconnected = isinstance(event, ev.SiblingNotConnected)
         refusal = _NO_UPSTREAM if isinstance(event, ev.SiblingNotConnected) else event.refusal
         if request.sibling_role is ArrivalRole.RETRY:
-            if request.idempotent or refusal.reason is RefusalReason.NO_UPSTREAM:
+            if request.idempotent or refusal.reason in _UNSENT_REASONS:
                 return self._retry_unrun(request, refusal, now)
             return self._refuse(request, refusal, now)
         # An unreachable owner says nothing about earlier sends of the same key.
--- a/libs/requests/tests/test_request_coordinator.py
+++ b/libs/requests/tests/test_request_coordinator.py
@@ -228,6 +228,35 @@
         assert play(make_coordinator(), repeat) == [rq.AnswerOutcomeUnknown(ID)]
 
 
+class TestRefusedByTheOwnUpstream:
+    @pytest.mark.parametrize("reason", [RefusalReason.QUEUE_FULL, RefusalReason.DRAINING])
+    def test_it_moves_to_a_sibling_without_budget(self, reason: RefusalReason) -> None:
+        # Guards against a guest that is refused while other upstreams of the service have room.
+        coordinator = make_coordinator()
+        for number in range(50):
+            request_id = RequestId(f"r{number}")
+            refused = rq.AdmissionRefused(request_id, Refusal(reason=reason))
+            actions = play(coordinator, arrival(request_id=request_id), refused)
+            assert len(forwards(actions)) == 1
+
+    def test_a_limit_of_the_plan_is_final(self) -> None:
+        refusal = Refusal(reason=RefusalReason.PLAN_CONCURRENCY)
+        actions = play(make_coordinator(), arrival(), rq.AdmissionRefused(ID, refusal))
+        assert rq.AnswerRefused(ID, refusal) in actions
+
+    def test_without_a_sibling_it_is_refused(self) -> None:
+        coordinator = make_coordinator(frozenset({OWN}))
+        actions = play(coordinator, arrival(), rq.AdmissionRefused(ID, QUEUE_FULL))
+        assert rq.AnswerRefused(ID, QUEUE_FULL) in actions
+
+    def test_a_sibling_that_shed_it_ends_the_search(self) -> None:
+        # Guards against a second send to an upstream of what isn't idempotent.
+        shed = Refusal(reason=RefusalReason.UPSTREAM_SHEDDING)
+        moved = [arrival(), rq.AdmissionRefused(ID, QUEUE_FULL)]
+        actions = play(make_coordinator(), *moved, rq.SiblingRefused(ID, 1, shed))
+        assert rq.AnswerRefused(ID, shed) in actions
+
+
 class TestFullTable:
     def test_only_what_cannot_have_run_is_refused(self) -> None:
         # Guards against "not run" for a repeat, or for a forward whose second copy may run later.
--- a/libs/runtime/src/laburnumbridge/runtime/agent_fleet.py
+++ b/libs/runtime/src/laburnumbridge/runtime/agent_fleet.py
@@ -10,6 +10,7 @@
 from laburnumbridge.core import ProcessId
 from laburnumbridge.membership import MemberState
 from laburnumbridge.placement import SiblingState
+from laburnumbridge.runtime.timer import PeriodicTimer
 from laburnumbridge.wire import Endpoint
 
 if TYPE_CHECKING:
@@ -29,6 +30,10 @@
     MemberState.GONE: SiblingState.GONE,
     MemberState.UNKNOWN: SiblingState.SUSPECT,
 }
+# An older list may lack changes, so the set of agents isn't certain any more.
+CHANGE_BOUND_S = 15.0
+CHECK_INTERVAL_S = 1.0
+
 _REACHABLE = frozenset({MemberState.LIVE, MemberState.LEAVING, MemberState.SUSPECT})
 
 
@@ -54,11 +59,17 @@
         self._is_leaving = False
         self._set_version = 0
         self._latest: tuple[object, ...] | None = None
+        self._timer = PeriodicTimer(interval_s=CHECK_INTERVAL_S, callback=self._check_age)
 
     def start(self) -> None:
         """Pass on the present state and every change."""
         self._core.membership.listen(self._apply)
         self._apply()
+        self._timer.start()
+
+    def close(self) -> None:
+        """Stop checking the age of the list."""
+        self._timer.close()
 
     def _apply(self) -> None:
         view = self._core.membership.view
@@ -72,6 +83,10 @@
             self._is_leaving = True
             self._on_leaving()
 
+    def _check_age(self) -> None:
+        agents = self._core.view.vms.agents
+        self._apply_requests([vm for vm in agents if vm.service == self._service])
+
     def _state(self, vm: Vm) -> MemberState:
         return self._core.membership.view.state(ProcessId(vm.name))
 
@@ -91,7 +106,9 @@
             if is_other and incarnation is not None and self._state(vm) is MemberState.LIVE:
                 agents.add(req.AgentId(ProcessId(vm.name), Incarnation(incarnation)))
         listed = frozenset(ProcessId(vm.name) for vm in siblings)
-        latest = (frozenset(agents), listed)
+        is_recent = self._core.configuration.vm_list_age_s() < CHANGE_BOUND_S
+        certain = is_recent and not self._core.membership.is_expired
+        latest = (frozenset(agents), listed, certain)
         if latest == self._latest:
             return
         self._latest = latest
@@ -101,7 +118,7 @@
                 version=self._set_version,
                 agents=frozenset(agents),
                 listed=listed,
-                certain=not self._core.membership.is_expired,
+                certain=certain,
             )
         )
 
--- a/libs/runtime/src/laburnumbridge/runtime/agent_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/agent_process.py
@@ -30,6 +30,7 @@
 from laburnumbridge.runtime.request_recorder import RequestRecorder
 from laburnumbridge.runtime.request_runner import RequestRunner
 from laburnumbridge.runtime.upstream_client import HttpUpstreamClient
+from laburnumbridge.runtime.upstream_monitor import UpstreamMonitor
 from laburnumbridge.telemetry import Event
 from laburnumbridge.telemetry import UpstreamLoad
 from laburnumbridge.wire import Encapsulation
@@ -63,12 +64,21 @@
         self._mover: FlowMover | None = None
         self._fleet: AgentFleet | None = None
         self._recorder: RequestRecorder | None = None
+        self._monitor: UpstreamMonitor | None = None
 
     async def start(self) -> None:
         """Wait for the lists, then accept connections."""
         await self._upstream.start()
-        self._runner = self._build_runner()
+        self._recorder = RequestRecorder(
+            service=self._settings.service,
+            upstream=self._core.process_id,
+            metrics=self._core.metrics,
+            ring=self._core.ring,
+            log=self._core.log,
+        )
         self._policy = self._build_policy()
+        self._runner = self._build_runner(self._recorder, self._policy)
+        self._monitor = self._build_monitor(self._recorder, self._runner, self._policy)
         await self._core.start(forwarded=ForwardedRequests(runner=self._runner))
         service = self._service()
         self._flows = self._build_flows(service, self._runner, self._policy)
@@ -89,6 +99,7 @@
         self._runner.start()
         self._policy.start()
         self._mover.start()
+        await self._monitor.start()
         self._flows.start()
         self._core.log.write(Event.PROCESS_STARTED, role="agent", service=service.name)
 
@@ -102,6 +113,10 @@
             await self._finish_requests(self._flows)
             self._flows.close()
             self._mover.close()
+        if self._monitor is not None:
+            await self._monitor.close()
+        if self._fleet is not None:
+            self._fleet.close()
         if self._policy is not None:
             self._policy.close()
         if self._runner is not None:
@@ -110,7 +125,23 @@
         await self._core.close()
         await self._upstream.close()
 
-    def _build_runner(self) -> RequestRunner:
+    def _build_monitor(
+        self, recorder: RequestRecorder, runner: RequestRunner, policy: PlacementPolicy
+    ) -> UpstreamMonitor:
+        def on_started() -> None:
+            recorder.upstream_changed(is_up=True)
+            runner.tell_admission(adm.UpstreamStartedCold())
+            policy.upstream_started_cold()
+
+        return UpstreamMonitor(
+            url=self._settings.upstream_url,
+            health_path=self._settings.health_path,
+            on_health=lambda is_up: runner.tell_admission(adm.HealthReported(is_up=is_up)),
+            on_down=lambda: recorder.upstream_changed(is_up=False),
+            on_started=on_started,
+        )
+
+    def _build_runner(self, recorder: RequestRecorder, policy: PlacementPolicy) -> RequestRunner:
         core = self._core
         now = asyncio.get_running_loop().time()
         own = req.AgentId(core.process_id, core.incarnation)
@@ -125,6 +156,8 @@
                 channels=core.channels, find_endpoint=core.view.control_endpoint
             ),
             link=core.link,
+            recorder=recorder,
+            on_busy_slots=policy.busy_slots_changed,
         )
 
     def _build_policy(self) -> PlacementPolicy:
@@ -152,14 +185,9 @@
             incarnation=core.incarnation,
             service_number=core.view.service_numbers()[service.name],
         )
-        self._recorder = RequestRecorder(
-            service=service.name,
-            upstream=core.process_id,
-            objective_ms=service.objectives.latency_ms,
-            metrics=core.metrics,
-            ring=core.ring,
-            log=core.log,
-        )
+        recorder = self._recorder
+        assert recorder is not None
+        recorder.objective_ms = service.objectives.latency_ms
         handler = PipelineHandler(
             service=service.name,
             stream_prefixes=service.streams,
@@ -168,7 +196,7 @@
             leases=self._leases,
             runner=runner,
             upstream=self._upstream,
-            recorder=self._recorder,
+            recorder=recorder,
         )
         return FlowEndpoint(
             address=Endpoint.parse(self._settings.address),
@@ -178,7 +206,7 @@
             handler=handler,
             policy=policy,
             list_balancers=core.view.balancer_endpoints,
-            recorder=self._recorder,
+            recorder=recorder,
         )
 
     def _read_upstreams(self) -> tuple[UpstreamLoad, ...]:
--- a/libs/runtime/src/laburnumbridge/runtime/configuration_driver.py
+++ b/libs/runtime/src/laburnumbridge/runtime/configuration_driver.py
@@ -77,6 +77,10 @@
         """Counts of reads, conflicts and ignored versions."""
         return self._relay.counters
 
+    def vm_list_age_s(self) -> float:
+        """Return how many seconds ago the platform last confirmed the list of VMs."""
+        return self._relay.confirmed_age_s("vms", self._now())
+
     async def start(self) -> None:
         """Begin to read and wait until every value is in force."""
         self._timer.start()
--- a/libs/runtime/src/laburnumbridge/runtime/request_recorder.py
+++ b/libs/runtime/src/laburnumbridge/runtime/request_recorder.py
@@ -27,7 +27,6 @@
         *,
         service: str,
         upstream: str,
-        objective_ms: float,
         metrics: MetricRegistry,
         ring: DecisionRing,
         log: EventLog,
@@ -37,7 +36,8 @@
         self._metrics = metrics
         self._ring = ring
         self._log = log
-        self.objective_ms = objective_ms
+        # The services list sets it before the first request.
+        self.objective_ms = 0.0
 
     def request_ended(
         self, request_id: str, plan: str, outcome: Outcome, *, latency_s: float, flow: str
@@ -70,6 +70,26 @@
         cause = ", ".join(f"{name} {value}" for name, value in fields.items() if value is not None)
         self._note(Event.REQUEST_REFUSED, cause, request_id, plan, flow)
 
+    def request_retried(self, request_id: str, plan: str, sibling: str) -> None:
+        """Record that a request goes to a sibling's upstream."""
+        self._metrics.count("requests_retried")
+        self._log.write(Event.REQUEST_RETRIED, request=request_id, plan=plan, sibling=sibling)
+        self._note(Event.REQUEST_RETRIED, f"forwarded to {sibling}", request_id, plan, "")
+
+    def upstream_shed(self, request_id: str, plan: str, retry_after_s: float) -> None:
+        """Record that the upstream shed a request."""
+        self._metrics.count("requests_shed")
+        fields = {"request": request_id, "plan": plan, "retry_after_s": retry_after_s}
+        self._log.write(Event.UPSTREAM_SHED, **fields)
+        self._note(Event.UPSTREAM_SHED, f"for {retry_after_s:g} s", request_id, plan, "")
+
+    def upstream_changed(self, *, is_up: bool) -> None:
+        """Record that the upstream stopped or began to accept connections."""
+        event = Event.UPSTREAM_STARTED if is_up else Event.UPSTREAM_DOWN
+        self._log.write(event, upstream=self._upstream)
+        cause = "accepts connections" if is_up else "refuses connections"
+        self._record(event, cause, {}, important=True)
+
     def flow_opened(self, flow: str) -> None:
         """Record a new flow."""
         self._metrics.count("flows_opened")
--- a/libs/runtime/src/laburnumbridge/runtime/request_runner.py
+++ b/libs/runtime/src/laburnumbridge/runtime/request_runner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from typing import TYPE_CHECKING
 
 from laburnumbridge import admission as adm
@@ -21,9 +20,12 @@
 from laburnumbridge.runtime.upstream_client import UpstreamRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from laburnumbridge.core import ProcessId
     from laburnumbridge.core import RequestId
     from laburnumbridge.runtime.control_link import ControlLink
+    from laburnumbridge.runtime.request_recorder import RequestRecorder
     from laburnumbridge.runtime.running_request import RunningRequest
     from laburnumbridge.runtime.sibling_calls import ForwardedAnswer
     from laburnumbridge.runtime.sibling_calls import SiblingCalls
@@ -49,7 +51,12 @@
         upstream: UpstreamClient,
         siblings: SiblingCalls,
         link: ControlLink,
+        recorder: RequestRecorder,
+        on_busy_slots: Callable[[int], None],
     ) -> None:
+        self._recorder = recorder
+        self._on_busy_slots = on_busy_slots
+        self._busy_slots = 0
         self._coordinator = coordinator
         self._admission = admission
         self._upstream = upstream
@@ -58,7 +65,6 @@
         self._running_by_id: dict[RequestId, RunningRequest] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer = PeriodicTimer(interval_s=TICK_S, callback=self._tick)
-        self.retries_by_cause: Counter[str] = Counter()
         link.register(MessageKind.KEY_INQUIRY, req.KeyInquired, self._on_key_inquiry)
         link.register(MessageKind.KEY_REPLY, req.KeyReplied, self._on_key_reply)
 
@@ -92,6 +98,10 @@
     def tell_admission(self, event: adm.AdmissionEvent) -> list[adm.AdmissionAction]:
         """Pass an event to admission; return what concerns connections and streams."""
         actions = self._admission.handle(event, self._now())
+        busy_slots = self._admission.snapshot().busy_slots
+        if busy_slots != self._busy_slots:
+            self._busy_slots = busy_slots
+            self._on_busy_slots(busy_slots)
         return [action for action in actions if not self._apply_admission(action)]
 
     def admission_snapshot(self) -> adm.AdmissionSnapshot:
@@ -141,7 +151,9 @@
             case req.CancelUpstream():
                 _cancel(running.upstream_call)
             case req.ForwardToSibling():
-                running.retries += action.role is req.ArrivalRole.RETRY
+                if action.role is req.ArrivalRole.RETRY:
+                    target = action.sibling.process_id
+                    self._recorder.request_retried(running.request_id, running.plan, target)
                 running.sibling_call = self._spawn(self._call_sibling(running, action))
             case req.CancelSibling():
                 _cancel(running.sibling_call)
@@ -206,11 +218,20 @@
                 await self._pass_on(running, answer)
         except UpstreamNotReachedError:
             running.outcome = adm.Outcome.CONNECTION_REFUSED
-            self.retries_by_cause["not_connected"] += 1
             self._decide(req.UpstreamNotConnected(request_id))
         except UpstreamLostError:
             running.outcome = adm.Outcome.CONNECTION_LOST
             self._decide(req.UpstreamLost(request_id))
+        finally:
+            self._forget_unread(running)
+
+    def _forget_unread(self, running: RunningRequest) -> None:
+        """Drop the record of a run that went on without its guest and has ended."""
+        calls = (running.upstream_call, running.sibling_call)
+        current = asyncio.current_task()
+        is_active = any(call and call is not current and not call.done() for call in calls)
+        if running.reader_gone and not is_active:
+            self._running_by_id.pop(running.request_id, None)
 
     async def _pass_on(self, running: RunningRequest, answer: UpstreamAnswer) -> None:
         retry_after = _parse_seconds(answer.header(_RETRY_AFTER))
@@ -221,6 +242,7 @@
         headers = req.UpstreamHeaders(running.request_id, answer.status, retry_after)
         self._decide(headers)
         if is_shed:
+            self._recorder.upstream_shed(running.request_id, running.plan, running.retry_after_s)
             return
         kept = bytearray()
         async for chunk in answer.body:
@@ -242,6 +264,8 @@
             self._decide(req.SiblingLost(request_id, attempt))
         else:
             await self._take_forwarded(running, attempt, answer)
+        finally:
+            self._forget_unread(running)
 
     async def _take_forwarded(
         self, running: RunningRequest, attempt: int, forwarded: ForwardedAnswer
--- a/libs/runtime/src/laburnumbridge/runtime/running_request.py
+++ b/libs/runtime/src/laburnumbridge/runtime/running_request.py
@@ -46,6 +46,4 @@
     retry_after_s: float = 0.0
     upstream_call: asyncio.Task[None] | None = None
     sibling_call: asyncio.Task[None] | None = None
-    retries: int = 0
-    answered: bool = False
     reader_gone: bool = False
--- a/libs/telemetry/src/laburnumbridge/telemetry/event.py
+++ b/libs/telemetry/src/laburnumbridge/telemetry/event.py
@@ -24,6 +24,8 @@
     PLATFORM_AVAILABLE = (205, "info", "The platform can be read again.")
     MEMBER_CHANGED = (301, "info", "The state of a process has changed in this view.")
     PANIC_THRESHOLD = (302, "warning", "Too much seems dead at once; nothing is evicted.")
+    UPSTREAM_DOWN = (304, "warning", "The upstream refuses connections.")
+    UPSTREAM_STARTED = (305, "info", "The upstream accepts connections again; it starts slowly.")
     UPSTREAM_DRAINING = (303, "info", "The upstream leaves; it gets no new work.")
     PACKET_DROPPED = (401, "debug", "A packet was dropped; the reason is counted.")
     FLOW_RESET = (402, "info", "A flow whose agent is gone got a stateless reset.")
