Answer processes that the list of VMs doesn't hold yet

Cause: the list lags, and answers to a process that it doesn't hold were dropped for want of an address. A balancer that started unlisted while the platform was stale learned nothing from its peers and served with the older plans. Change: the address that an authentic datagram of an unlisted process came from is kept (at most 1,024) and used for answers until the list has the process.

--- a/libs/runtime/src/laburnumbridge/runtime/control_link.py
+++ b/libs/runtime/src/laburnumbridge/runtime/control_link.py
@@ -6,6 +6,7 @@
 from abc import ABC
 from abc import abstractmethod
 from collections import Counter
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -14,6 +15,7 @@
 from laburnumbridge.runtime.udp_socket import UdpSocket
 from laburnumbridge.wire import DatagramRejectedError
 from laburnumbridge.wire import DatagramTooLargeError
+from laburnumbridge.wire import Endpoint
 from laburnumbridge.wire import SealedCodec
 
 if TYPE_CHECKING:
@@ -22,11 +24,13 @@
 
     from laburnumbridge.core import Incarnation
     from laburnumbridge.core import ProcessId
-    from laburnumbridge.wire import Endpoint
     from laburnumbridge.wire import SealingKey
 
     Handler = Callable[["ProcessId", Any], None]
 
+# As many processes as may start before the list of VMs shows them; about 0.2 MB.
+MAX_UNLISTED = 1_024
+
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True):
     """A message with the number of its type."""
@@ -71,6 +75,7 @@
         self._kind_by_type: dict[type, int] = {}
         self._decoder_by_kind: dict[int, msgspec.msgpack.Decoder[Any]] = {}
         self._handler_by_kind: dict[int, Handler] = {}
+        self._endpoint_by_unlisted: OrderedDict[ProcessId, Endpoint] = OrderedDict()
         self._socket = UdpSocket(address=address, on_datagram=self._on_datagram)
         self.dropped: Counter[str] = Counter()
         self.bytes_sent = 0
@@ -97,7 +102,7 @@
             handler = self._handler_by_kind[kind]
             asyncio.get_running_loop().call_soon(handler, self._own, message)
             return
-        endpoint = self._find_endpoint(destination)
+        endpoint = self._find_endpoint(destination) or self._endpoint_by_unlisted.get(destination)
         if endpoint is None:
             self.dropped["unknown_destination"] += 1
             return
@@ -111,12 +116,13 @@
         self.bytes_sent += len(datagram)
         self._socket.send(datagram, endpoint)
 
-    def _on_datagram(self, data: bytes, _address: tuple[str, int]) -> None:
+    def _on_datagram(self, data: bytes, address: tuple[str, int]) -> None:
         try:
             opened = self._codec.open(data)
         except DatagramRejectedError as error:
             self.dropped[error.fault.value] += 1
             return
+        self._note_address(opened.sender, Endpoint(*address))
         decoder = self._decoder_by_kind.get(opened.message.kind)
         if decoder is None:
             self.dropped["unknown_kind"] += 1
@@ -127,3 +133,12 @@
             self.dropped["malformed"] += 1
             return
         self._handler_by_kind[opened.message.kind](opened.sender, message)
+
+    def _note_address(self, sender: ProcessId, endpoint: Endpoint) -> None:
+        """Remember where to answer a process that the lagging list doesn't hold yet."""
+        self._endpoint_by_unlisted.pop(sender, None)
+        if self._find_endpoint(sender) is not None:
+            return
+        self._endpoint_by_unlisted[sender] = endpoint
+        if len(self._endpoint_by_unlisted) > MAX_UNLISTED:
+            self._endpoint_by_unlisted.popitem(last=False)
