Compare versions with peers before a process serves

Cause: a starting process counted a read of the platform as confirmation. With a stale platform and the VM list read last, it served 1 ms after it knew any peer, with the older plans; the newer version came 0.3 s later from a peer. Change: before it serves, a process asks peers for their versions until two have answered and none is ahead of it, for 3 s at most.

--- a/libs/runtime/src/laburnumbridge/runtime/configuration_driver.py
+++ b/libs/runtime/src/laburnumbridge/runtime/configuration_driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 import grpc
@@ -16,6 +17,7 @@
 from laburnumbridge.runtime.errors import PlatformUnavailableError
 from laburnumbridge.runtime.fleet_view import MODEL_BY_NAME
 from laburnumbridge.runtime.message_kinds import MessageKind
+from laburnumbridge.runtime.peer_versions import PeerVersions
 from laburnumbridge.runtime.timer import PeriodicTimer
 from laburnumbridge.runtime.version_digests import VersionDigests
 from laburnumbridge.telemetry import Event
@@ -35,6 +37,9 @@
 
 TICK_S = 0.25
 PEER_TIMEOUT_S = 5.0
+# How long a process that may serve waits for the versions of its peers, and how often it asks.
+PEER_WAIT_S = 3.0
+PEER_ASK_INTERVAL_S = 0.25
 
 
 class ConfigurationDriver:
@@ -68,6 +73,7 @@
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._serving = asyncio.Event()
+        self._peer_versions: PeerVersions | None = PeerVersions(own=own)
         self._is_available = True
         self._timer = PeriodicTimer(interval_s=TICK_S, callback=self._tick)
         link.register(MessageKind.VERSION_DIGEST, VersionDigests, self._on_digests)
@@ -82,6 +88,10 @@
         self._timer.start()
         self._tick()
         await self._serving.wait()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(PEER_WAIT_S):
+                await self._compare_with_peers()
+        self._peer_versions = None
 
     async def close(self) -> None:
         """Stop reading."""
@@ -114,6 +124,18 @@
                 self._apply(action)
         return answer
 
+    async def _compare_with_peers(self) -> None:
+        """Ask peers until enough have answered and their versions are in force here too."""
+        told = self._peer_versions
+        assert told is not None
+        while True:
+            peers = [ProcessId(vm.name) for vm in self._view.vms.vms if vm.name != self._own]
+            if told.suffice(peers=len(peers), versions=self._view.version_by_name):
+                return
+            for peer in told.next_peers(peers):
+                self._link.send(peer, VersionDigests((), reply_wanted=True))
+            await asyncio.sleep(PEER_ASK_INTERVAL_S)
+
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
@@ -207,4 +229,6 @@
         )
 
     def _on_digests(self, sender: ProcessId, message: VersionDigests) -> None:
+        if self._peer_versions is not None:
+            self._peer_versions.heard(sender, message.digests)
         self._handle(conf.PeerDigest(sender, message.digests, message.reply_wanted))
