Test the start of an unlisted process while the platform is stale

Cause: peers don't know a process that the lagging list doesn't hold yet. Change: such a process must serve with the version in force at its peers. Bad control datagrams cover all message kinds.

--- a/libs/standins/tests/test_bad_input.py
+++ b/libs/standins/tests/test_bad_input.py
@@ -115,7 +115,7 @@
             keys=[SealingKey(1, secret, current=True)],
             message_type=object,
         )
-        kind = self._random.randrange(40)
+        kind = self._random.randrange(60)
         content = self._random.choice((b"\x90", b"\x80", b"\x91\xc0", b"\xff", self._bytes(1, 60)))
         body = self._random.choice((b"", [1, 2], Envelope(kind, msgspec.Raw(content))))
         receiver = self._random.choice((f"{SERVICE}-2", "balancer-1"))
--- a/libs/standins/tests/test_list_changes.py
+++ b/libs/standins/tests/test_list_changes.py
@@ -110,6 +110,27 @@
             assert_never_reverted(harness, name)
         assert served_with == version
 
+    async def test_unlisted_process_starts_with_the_version_in_force(
+        self, harness: Harness
+    ) -> None:
+        # Guards P8: the list of VMs lags, so peers may not know a process that starts while the
+        # platform is stale. They must still tell it of the version in force.
+        limit_requests(harness, 0)
+        version = await harness.publish("plans")
+        await harness.wait_in_force("plans", version, timeout_s=CHANGE_BOUND_S)
+        late = harness.add_balancer()
+        await harness.set_platform_faults(stale=True)
+        try:
+            harness.start_machine(late)
+            await harness.wait_ready(late)
+            served_with = harness.versions_in_force("plans")[late.name][-1]
+        finally:
+            await harness.set_platform_faults()
+            limit_requests(harness, None)
+            await harness.publish("plans")
+            await harness.publish_vms()
+        assert served_with == version
+
     @staticmethod
     async def _wait_others(harness: Harness, late: str, version_by_list: dict[str, int]) -> None:
         async with asyncio.timeout(CHANGE_BOUND_S):
