Build the product as one file

Cause: the product had to be installed with pip, which VMs without disk and network can't do. Change: make dist packs the product libraries and their dependencies from the developer's environment with shiv, without the network.

--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,6 @@
 proto: setup
 	$(BIN)/python -m grpc_tools.protoc -I libs/wire/src --python_out=libs/wire/src \
 		--pyi_out=libs/wire/src --grpc_python_out=libs/wire/src $(PROTO)
+
+dist: setup
+	$(BIN)/python packaging/build_distribution.py dist/laburnumbridge
