Add scenarios for streams under planned changes (P1)

Nine scenarios: balancers with different views of a drain, an old list, a suspicion, a key rotation that reaches one balancer first, a frozen balancer, short and long pauses of an agent, a death and a partition of two failure domains that heals. The design states no bound for the time after a heal; the scenario waits 60 s.

--- a/scenarios/conftest.py
+++ b/scenarios/conftest.py
@@ -3,4 +3,7 @@
 from __future__ import annotations
 
 from scenarios.steps.admission import *  # noqa: F403
+from scenarios.steps.agent import *  # noqa: F403
+from scenarios.steps.balancers import *  # noqa: F403
+from scenarios.steps.members import *  # noqa: F403
 from scenarios.steps.requests import *  # noqa: F403
--- /dev/null
+++ b/scenarios/features/p1_streams_survive.feature
@@ -0,0 +1,60 @@
+Feature: P1 A reading stream survives any planned change
+
+  Scenario: A drain that two balancers learn of at different times
+    Given an open reading stream at agent 3
+    When balancer A lists agent 3 as leaving in version 2
+    Then packets of the stream reach agent 3 through each balancer
+    And new flows for desk through balancer A reach the agents 1, 2
+    And new flows for desk through balancer B reach the agents 1, 2, 3
+
+  Scenario: A balancer with an old list meets a stream of a new upstream
+    Given a new balancer B whose list lacks agent 3
+    And an open reading stream at agent 3
+    Then packets of the stream reach agent 3 through balancer A
+    And balancer B drops packets of the stream and resets nothing
+
+  Scenario: A suspicion ends no stream
+    Given an open reading stream at agent 3
+    When balancer A hears that agent 3 is suspect
+    Then packets of the stream reach agent 3 through each balancer
+
+  Scenario: The routing key rotates, at one balancer first
+    Given an open reading stream at agent 3
+    When the routing key rotates to number 2 at balancer A
+    Then packets of the stream reach agent 3 through each balancer
+
+  Scenario: A balancer freezes
+    Given a stream whose packets came through one balancer
+    When that balancer freezes and the agent sends a reading each second for 3 s
+    Then the readings go through the other balancers
+
+  Scenario: An agent pauses for a short time
+    Given a fleet that loses and doubles messages, seed 6
+    When an agent pauses for 2 seconds
+    And the agent wakes up
+    And 5 seconds pass in the fleet
+    Then no flow may be reset
+
+  Scenario: An agent wakes up late
+    Given a fleet that loses and doubles messages, seed 7
+    When an agent pauses for 60 seconds
+    And the agent wakes up, held for dead by all balancers
+    And 5 seconds pass in the fleet
+    Then the agent trusted its old view in nothing until others had answered
+    And no flow may be reset
+    And every balancer holds the agent for "live"
+
+  Scenario: An upstream dies
+    Given a fleet that loses and doubles messages, seed 8
+    When an agent dies without notice
+    And 3 seconds pass in the fleet
+    Then every balancer holds the agent for "dead"
+    And only the flows of the dead agent may be reset
+
+  Scenario: A partition heals
+    Given a fleet that loses and doubles messages, seed 11
+    When a partition cuts off two of the five failure domains for 60 seconds
+    Then the cut-off side has held nobody for dead
+    When the partition heals
+    And 60 seconds pass in the fleet
+    Then every process holds every other for live
--- /dev/null
+++ b/scenarios/steps/agent.py
@@ -0,0 +1,221 @@
+"""The agent's side of guests' packets; its socket, loop and connections are fakes."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from types import SimpleNamespace
+from typing import TYPE_CHECKING
+
+import pytest
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import then
+from pytest_bdd import when
+
+from laburnumbridge.core import AgentNumber
+from laburnumbridge.core import Incarnation
+from laburnumbridge.core import ServiceNumber
+from laburnumbridge.routing import TokenCodec
+from laburnumbridge.runtime import flow_endpoint
+from laburnumbridge.runtime.connection_id_issuer import ConnectionIdIssuer
+from laburnumbridge.runtime.flow_mover import FlowMover
+from laburnumbridge.runtime.return_path import ReturnPath
+from laburnumbridge.wire import Encapsulation
+from laburnumbridge.wire import Endpoint
+from laburnumbridge.wire import Frame
+from laburnumbridge.wire import FrameKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+DESK, STORE = ServiceNumber(1), ServiceNumber(2)
+CODEC = TokenCodec(keys_by_number={1: bytes(16)}, current_number=1)
+ENCAPSULATION = Encapsulation(link_key=bytes(16))
+GUEST = Endpoint("203.0.113.9", 5000)
+BALANCERS = [Endpoint(f"198.51.100.{n}", 4433) for n in (21, 22, 23)]
+RESET_KEY = "reset_sent"
+
+
+class FakeSocket:
+    """Keeps what is sent."""
+
+    def __init__(
+        self, *, address: Endpoint, on_datagram: Callable[[bytes, tuple[str, int]], None]
+    ) -> None:
+        self.on_datagram = on_datagram
+        self.sent: list[Endpoint] = []
+
+    def send(self, data: bytes, endpoint: Endpoint) -> None:
+        self.sent.append(endpoint)
+
+
+class RecordingPolicy(flow_endpoint.HandshakePolicy):
+    """Hands every handshake over, so that none needs a QUIC connection."""
+
+    def __init__(self) -> None:
+        self.begun = 0
+
+    def choose(self, flow_key: bytes, *, handed_off: bool, now: float) -> Endpoint | None:
+        self.begun += 1
+        return BALANCERS[0]
+
+    def opened(self, now: float) -> None:
+        """Nothing is opened here."""
+
+    def closed(self, now: float) -> None:
+        """Nothing is closed here."""
+
+
+@dataclass
+class FakeConnection:
+    """An open flow; ``closed`` is set where the agent ends it."""
+
+    opened: bool = True
+    going_away: bool = False
+    open_requests: int = 1
+    closed: bool = False
+
+    def go_away(self) -> None:
+        self.going_away = True
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class AgentWorld:
+    """One agent: what it sends and drops, its open flows and the way back to a guest."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = 50.0
+        loop = SimpleNamespace(time=lambda: self.now)
+        monkeypatch.setattr(asyncio, "get_running_loop", lambda: loop)
+        monkeypatch.setattr(flow_endpoint, "UdpSocket", FakeSocket)
+        self.policy = RecordingPolicy()
+        self.endpoint = self._endpoint(agent=4, service=STORE, incarnation=1_001)
+        self.connections: list[FakeConnection] = []
+        self.path: ReturnPath | None = None
+        self.path_socket = FakeSocket(address=BALANCERS[0], on_datagram=lambda *_: None)
+
+    @property
+    def socket(self) -> FakeSocket:
+        fake = self.endpoint._socket
+        assert isinstance(fake, FakeSocket)
+        return fake
+
+    def receive(self, datagram: bytes, service: ServiceNumber) -> None:
+        frame = Frame(FrameKind.TO_AGENT, service, GUEST, datagram, None)
+        self.socket.on_datagram(ENCAPSULATION.encode(frame), tuple(BALANCERS[0]))
+
+    def _endpoint(
+        self, *, agent: int, service: ServiceNumber, incarnation: int
+    ) -> flow_endpoint.FlowEndpoint:
+        return flow_endpoint.FlowEndpoint(
+            address=Endpoint("198.51.100.4", 4433),
+            encapsulation=ENCAPSULATION,
+            issuer=issuer(agent, service, incarnation),
+            quic_configuration=SimpleNamespace(supported_versions=[1]),  # type: ignore[arg-type]
+            handler=None,  # type: ignore[arg-type]
+            policy=self.policy,
+            list_balancers=lambda: BALANCERS,
+            recorder=None,  # type: ignore[arg-type]
+        )
+
+
+def issuer(agent: int, service: ServiceNumber, incarnation: int) -> ConnectionIdIssuer:
+    """Return what makes the connection IDs of an agent."""
+    return ConnectionIdIssuer(
+        codec=CODEC,
+        agent_number=AgentNumber(agent),
+        incarnation=Incarnation(incarnation),
+        service_number=service,
+    )
+
+
+@pytest.fixture
+def agent_world(monkeypatch: pytest.MonkeyPatch) -> AgentWorld:
+    return AgentWorld(monkeypatch)
+
+
+@given("an agent of the service store at an address that the service desk had before")
+def agent_at_reused_address(agent_world: AgentWorld) -> None:
+    assert agent_world.policy.begun == 0
+
+
+@when("a balancer with an outdated list sends it the first packet of a guest of desk")
+def outdated_initial(agent_world: AgentWorld) -> None:
+    head = b"\xc0\x00\x00\x00\x01\x08" + bytes(8) + b"\x00\x00\x44\x00"
+    agent_world.receive(head.ljust(1200, b"\0"), DESK)
+
+
+@when(parsers.parse("a balancer sends it a packet of a stream of {whose}"))
+def stream_packet(agent_world: AgentWorld, whose: str) -> None:
+    holder = {
+        "another agent": issuer(3, STORE, 1_000),
+        "the process before it": issuer(4, STORE, 1_000),
+    }[whose]
+    packet = b"\x40" + holder.issue().connection_id + bytes(40)
+    agent_world.receive(packet, STORE)
+
+
+@then("the agent sends nothing and begins nothing")
+def nothing_happens(agent_world: AgentWorld) -> None:
+    assert agent_world.socket.sent == []
+    assert agent_world.policy.begun == 0
+    assert sum(agent_world.endpoint.dropped.values()) == 1
+
+
+@then("the agent tells the guest at once to reconnect")
+def agent_resets(agent_world: AgentWorld) -> None:
+    assert agent_world.endpoint.dropped[RESET_KEY] == 1
+    assert agent_world.socket.sent == [BALANCERS[0]]
+
+
+@given(parsers.parse("an agent with {count:d} open flows"))
+def open_flows(agent_world: AgentWorld, count: int) -> None:
+    agent_world.connections = [FakeConnection(open_requests=n % 3) for n in range(count)]
+
+
+@when(parsers.parse("it drains for {seconds:d} seconds"))
+def drains(agent_world: AgentWorld, seconds: int) -> None:
+    mover = FlowMover(flows=SimpleNamespace(connections=agent_world.connections))  # type: ignore[arg-type]
+    mover.start_drain()
+    for _ in range(seconds):
+        mover._step()
+
+
+@then("every guest has been asked to open a new connection first")
+def all_asked(agent_world: AgentWorld) -> None:
+    assert all(connection.going_away for connection in agent_world.connections)
+
+
+@then("the agent has closed no flow")
+def none_closed(agent_world: AgentWorld) -> None:
+    assert not any(connection.closed for connection in agent_world.connections)
+
+
+@given("a stream whose packets came through one balancer")
+def stream_through_balancer(agent_world: AgentWorld) -> None:
+    agent_world.path = ReturnPath(
+        socket=agent_world.path_socket,  # type: ignore[arg-type]
+        encapsulation=ENCAPSULATION,
+        service_number=DESK,
+        guest=GUEST,
+        balancer=BALANCERS[0],
+        list_balancers=lambda: BALANCERS,
+        now=agent_world.now,
+    )
+
+
+@when(parsers.parse("that balancer freezes and the agent sends a reading each second for {n:d} s"))
+def balancer_freezes(agent_world: AgentWorld, n: int) -> None:
+    assert agent_world.path is not None
+    for _ in range(n):
+        agent_world.now += 1.01
+        agent_world.path.sendto(b"reading")
+
+
+@then("the readings go through the other balancers")
+def other_balancers(agent_world: AgentWorld) -> None:
+    assert set(agent_world.path_socket.sent) >= set(BALANCERS[1:])
+    assert agent_world.path_socket.sent.count(BALANCERS[0]) <= 1
