Reload the certificates of calls to other processes

Cause: the pool of channels takes new certificate files only when it is told to read them, which nothing did. Every process now does so each 10 s; the server side reads them for each handshake.

--- a/libs/runtime/src/laburnumbridge/runtime/process_core.py
+++ b/libs/runtime/src/laburnumbridge/runtime/process_core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -41,6 +42,8 @@
     from laburnumbridge.settings import ProcessSettings
     from laburnumbridge.telemetry import UpstreamLoad
 
+RELOAD_INTERVAL_S = 10.0
+
 _USABLE_STATES = frozenset({MemberState.LIVE, MemberState.LEAVING, MemberState.SUSPECT})
 
 
@@ -99,6 +102,7 @@
         self._started_at = time.time()
         self._endpoint: MetricsEndpoint | None = None
         self._server: ControlServer | None = None
+        self._reloading: asyncio.Task[None] | None = None
         self.view.listen(self._on_list)
         self.membership.listen(self._on_members)
 
@@ -117,6 +121,7 @@
         )
         await self._server.start()
         await self._start_metrics()
+        self._reloading = asyncio.create_task(self._reload_certificates())
         self.membership.start()
         await self.configuration.start()
 
@@ -127,12 +132,21 @@
         if self._server is not None:
             await self._server.close()
         self.link.close()
+        if self._reloading is not None:
+            self._reloading.cancel()
+            await asyncio.gather(self._reloading, return_exceptions=True)
         if self._endpoint is not None:
             await self._endpoint.close()
         await self.channels.close()
         await self._client.close()
         self.log.write(Event.PROCESS_STOPPED)
 
+    async def _reload_certificates(self) -> None:
+        """Let calls to other processes use new certificate files without a restart."""
+        while True:
+            await asyncio.sleep(RELOAD_INTERVAL_S)
+            await self.channels.reload()
+
     async def _start_metrics(self) -> None:
         if self.settings.metrics_address is None:
             return
