Write the capacity page from the benchmarks' figures

make capacity turns build/bench.json into docs/CAPACITY.md: for each role the measured points, the figure carried to full size, the budget, the ratio and the mechanism.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 EDITABLE := $(foreach name,$(LIBRARIES),-e libs/$(name))
 PROTO := libs/wire/src/laburnumbridge/wire/control.proto
 
-.PHONY: setup format lint test bench demo proto dist soak clean
+.PHONY: setup format lint test bench capacity demo proto dist soak clean
 
 setup: $(VENV)/.installed
 
@@ -39,6 +39,9 @@
 demo: setup
 	$(BIN)/python -m laburnumbridge.standins.demo
 
+capacity: setup
+	$(BIN)/python -m laburnumbridge.standins.capacity_page build/bench.json docs/CAPACITY.md
+
 soak: setup
 	mkdir -p build
 	$(BIN)/python -m laburnumbridge.standins.soak build/soak.json
