--- a/libs/standins/src/laburnumbridge/standins/capacity_page.py
+++ b/libs/standins/src/laburnumbridge/standins/capacity_page.py
@@ -33,8 +33,8 @@
 
 This page is written by `make capacity` from `build/bench.json`, which `make bench` measures on one
 machine with up to 200 instances of the state machines. "Carried" figures follow the measured slope
-or count to the full size; nothing was run at that size. Memory is what control adds. A ratio above 1
-is over budget.
+or count to the full size; nothing was run at that size. Memory is what control adds. A ratio above
+1 is over budget.
 
 """
 
