--- /dev/null
+++ b/libs/requests/src/laburnumbridge/requests/refusals.py
@@ -0,0 +1,29 @@
+"""Refusals that the coordinator makes or looks into."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import Refusal
+from laburnumbridge.core import RefusalReason
+
+if TYPE_CHECKING:
+    from laburnumbridge.core import PlanName
+
+# Refusals that come before anything is sent and say nothing about the service's other upstreams.
+UNSENT_REASONS = frozenset(
+    {
+        RefusalReason.COLD_START,
+        RefusalReason.DRAINING,
+        RefusalReason.NO_UPSTREAM,
+        RefusalReason.QUEUE_FULL,
+    }
+)
+OWN_UPSTREAM_REASONS = UNSENT_REASONS | {RefusalReason.UPSTREAM_SHEDDING}
+NO_UPSTREAM = Refusal(reason=RefusalReason.NO_UPSTREAM)
+QUEUE_FULL = Refusal(reason=RefusalReason.QUEUE_FULL)
+
+
+def expired(plan: PlanName) -> Refusal:
+    """Return the refusal of a request whose deadline passed before it started."""
+    return Refusal(reason=RefusalReason.DEADLINE_EXPIRED, plan=plan)
--- a/libs/requests/src/laburnumbridge/requests/request_coordinator.py
+++ b/libs/requests/src/laburnumbridge/requests/request_coordinator.py
@@ -16,6 +16,11 @@
 from laburnumbridge.requests.finished_requests import FinishedRequests
 from laburnumbridge.requests.key_ledger import KeyLedger
 from laburnumbridge.requests.key_messages import ArrivalRole
+from laburnumbridge.requests.refusals import NO_UPSTREAM
+from laburnumbridge.requests.refusals import OWN_UPSTREAM_REASONS
+from laburnumbridge.requests.refusals import QUEUE_FULL
+from laburnumbridge.requests.refusals import UNSENT_REASONS
+from laburnumbridge.requests.refusals import expired
 from laburnumbridge.requests.retry_budget import RetryBudget
 from laburnumbridge.requests.stored_answer import StoredAnswer
 from laburnumbridge.requests.tracked_request import Phase
@@ -32,19 +37,6 @@
 GATEWAY_TIMEOUT_STATUS = 504
 KEY_CONFLICT_STATUS = 422  # draft-ietf-httpapi-idempotency-key-header, section 2.7
 
-# Refusals that come before anything is sent and say nothing about the service's other upstreams.
-_UNSENT_REASONS = frozenset(
-    {
-        RefusalReason.COLD_START,
-        RefusalReason.DRAINING,
-        RefusalReason.NO_UPSTREAM,
-        RefusalReason.QUEUE_FULL,
-    }
-)
-_OWN_UPSTREAM_REASONS = _UNSENT_REASONS | {RefusalReason.UPSTREAM_SHEDDING}
-_NO_UPSTREAM = Refusal(reason=RefusalReason.NO_UPSTREAM)
-_QUEUE_FULL = Refusal(reason=RefusalReason.QUEUE_FULL)
-
 Actions = list[act.RequestAction]
 
 
@@ -120,12 +112,12 @@
             # have run.
             if forwarded or not request.is_first_send:
                 return [act.AnswerOutcomeUnknown(request_id)]
-            return [act.AnswerRefused(request_id, _QUEUE_FULL)]
+            return [act.AnswerRefused(request_id, QUEUE_FULL)]
         self._request_by_id[request_id] = request
         if not forwarded:
             self._budget.count_request(now)
         if left_s <= 0:
-            return self._refuse(request, self._expired(request), now)
+            return self._refuse(request, expired(request.arrival.plan), now)
         self._deadlines.push(request.deadline_at, request_id, self._request_by_id)
         if request.keyed:
             return self._claim(request, now)
@@ -183,7 +175,7 @@
         if isinstance(event, ev.AdmissionRefused):
             return self._place_elsewhere(request, event.refusal, now)
         if now >= request.deadline_at:
-            return self._refuse(request, self._expired(request), now)
+            return self._refuse(request, expired(request.arrival.plan), now)
         request.phase = Phase.UPSTREAM
         request.tries += 1
         return [act.SendUpstream(event.request_id, request.remaining_ms(now))]
@@ -193,7 +185,7 @@
 
         The first move needs no budget: no upstream has seen the request, so none gets more work.
         """
-        if refusal.reason not in _OWN_UPSTREAM_REASONS:
+        if refusal.reason not in OWN_UPSTREAM_REASONS:
             return self._refuse(request, refusal, now)
         moved = self._retry(request, now, is_budgeted=False)
         return moved or self._refuse(request, refusal, now)
@@ -203,7 +195,7 @@
     ) -> Actions:
         match event:
             case ev.UpstreamNotConnected() if not request.bytes_sent:
-                return self._retry_unrun(request, _NO_UPSTREAM, now)
+                return self._retry_unrun(request, NO_UPSTREAM, now)
             case ev.UpstreamBytesSent():
                 request.bytes_sent = True
                 return []
@@ -246,9 +238,9 @@
         if request.answer_started or isinstance(event, ev.SiblingHeaders):
             return self._ignore(event)
         unconnected = isinstance(event, ev.SiblingNotConnected)
-        refusal = _NO_UPSTREAM if isinstance(event, ev.SiblingNotConnected) else event.refusal
+        refusal = NO_UPSTREAM if isinstance(event, ev.SiblingNotConnected) else event.refusal
         if request.sibling_role is ArrivalRole.RETRY:
-            if request.idempotent or refusal.reason in _UNSENT_REASONS:
+            if request.idempotent or refusal.reason in UNSENT_REASONS:
                 return self._retry_unrun(request, refusal, now)
             return self._refuse(request, refusal, now)
         # An unreachable owner says nothing about earlier sends of the same key.
@@ -352,7 +344,7 @@
     def _expire(self, request: TrackedRequest, now: float) -> Actions:
         request_id = request.arrival.request_id
         if request.phase is Phase.QUEUED:
-            return self._refuse(request, self._expired(request), now)
+            return self._refuse(request, expired(request.arrival.plan), now)
         if request.answer_started and request.arrival.deadline_s is None:
             return []  # a long stream or download of a guest that set no deadline
         stopped = self._stop(request)
@@ -407,7 +399,3 @@
         if request.phase not in (Phase.QUEUED, Phase.UPSTREAM):
             return []
         return [act.ReleaseAdmission(request.arrival.request_id)]
-
-    @staticmethod
-    def _expired(request: TrackedRequest) -> Refusal:
-        return Refusal(reason=RefusalReason.DEADLINE_EXPIRED, plan=request.arrival.plan)
