--- /dev/null
+++ b/scenarios/features/p7_planned_stop.feature
@@ -0,0 +1,40 @@
+Feature: P7 A planned stop interrupts no request
+
+  Scenario: A drain lets running and waiting requests end
+    Given an upstream with 4 slots
+    And an open status board
+    And 6 requests of plan "bench"
+    When the platform lists the upstream as leaving
+    And 60 seconds pass at the upstream
+    And 4 running requests are answered
+    Then 7 requests have run
+    And no running request is interrupted
+    And no guest is told that a request was not run which ran
+    And every guest of a request has been answered or is served
+
+  Scenario: A request that meets a drain is moved to a sibling
+    Given a lodgement that waits for a slot
+    When its upstream is found to be leaving
+    And the sibling answers in full
+    Then the guest is told "a whole answer", once
+
+  Scenario: Guests of a drained upstream are asked to move, none is cut off
+    Given an agent with 205 open flows
+    When it drains for 10 seconds
+    Then every guest has been asked to open a new connection first
+    And the agent has closed no flow
+
+  Scenario: New connections go from a drained agent to its siblings
+    Given an agent with 0 flows and siblings 2 and 3 with 1000 flows each
+    When the agent's own upstream is leaving
+    And 100 guests open a connection
+    Then none of them stay at the agent
+
+  Scenario: Cold start of the upstream that replaces it
+    Given an upstream with 4 slots
+    And the upstream has just started
+    When 8 requests of plan "bench" arrive
+    Then 1 requests are running
+    When 30 seconds pass at the upstream
+    Then 4 requests are running
+    And no running request is interrupted
