--- a/libs/standins/src/laburnumbridge/standins/capacity_page.py
+++ b/libs/standins/src/laburnumbridge/standins/capacity_page.py
@@ -137,6 +137,14 @@
                 mechanism="deltas down a tree of fan-out 8 in each failure domain",
             ),
             self._processor_row(role),
+            Row(
+                need="processor, whole process without guests, at today's 14 processes",
+                points="real processes on loopback, 20 s",
+                carried=float(self._figures["idle_fleet"][f"{role}_cpu_pct"]),
+                unit="%",
+                budget=CPU_BUDGET_PCT,
+                mechanism="includes event loop, gRPC, long polls and load reports to 6 siblings",
+            ),
             Row(
                 need="memory, view of 9,280 processes",
                 points="measured at full size",
@@ -238,15 +246,15 @@
         ]
 
     def _holder(self) -> list[Row]:
-        largest = self._figures["limits"]["steady"]["50"]
-        messages = largest["messages_per_agent_s"]
+        busy = self._figures["limits"]["rate steady 50"]["leases"]
+        messages = busy["messages_per_agent_per_s"]
         return [
             Row(
-                need="messages a second for one plan and agent with demand",
-                points="50 agents, steady demand across the limit",
-                carried=float(messages),
-                unit="/s",
-                budget=None,
+                need="bytes a second, one plan asked for by 50 agents up to 1.25 of its limit",
+                points=f"{busy['bytes_per_agent_per_s']:g} B/s an agent, bodies only",
+                carried=50.0 * busy["bytes_per_agent_per_s"],
+                unit="B/s",
+                budget=BYTES_BUDGET_S,
                 mechanism="agents without demand for a plan hold and send nothing",
             ),
             Row(
@@ -294,6 +302,12 @@
             "carried).\n"
             f"- With reads by every process itself, a restart of {BALANCERS + AGENTS:,} would cost "
             f"{(BALANCERS + AGENTS) * 4:,} reads at once.\n"
+            "- The plan holder's rows rise with the agents that ask for one plan above its limit. Grants "
+            "for several reports in one message, fewer renewals above the limit, or a holder in each "
+            "failure domain under the plan's holder would lower them.\n"
+            "- A whole agent without guests spends mostly timers of 50 ms (probes, requests) and load "
+            "reports; at the full size it has 2 siblings, not 6. Longer ticks while nothing is "
+            "pending would lower it.\n"
             "- Not measured: any fleet above 200 instances over sockets, a cut of a whole hour, a "
             "balancer under the full rate of 2,900 addresses.\n"
         )
