Try a sibling where a plan's ceiling refuses a request

Cause: a ceiling holds at each upstream, but a request that met it went back to the guest although siblings had room for the plan. Admission's plan refusals now move the request like a full queue does; the plan's limits in the fleet are counted before and stay final. The test of a final refusal used plan_concurrency, which no longer is one, and now uses the expired deadline.

--- a/libs/requests/src/laburnumbridge/requests/refusals.py
+++ b/libs/requests/src/laburnumbridge/requests/refusals.py
@@ -16,6 +16,9 @@
         RefusalReason.COLD_START,
         RefusalReason.DRAINING,
         RefusalReason.NO_UPSTREAM,
+        # A plan's ceiling holds at each upstream; its limits in the fleet were counted before.
+        RefusalReason.PLAN_CONCURRENCY,
+        RefusalReason.PLAN_CONNECTIONS,
         RefusalReason.QUEUE_FULL,
     }
 )
