--- a/packaging/measure_start.py
+++ b/packaging/measure_start.py
@@ -1,6 +1,6 @@
 """Measures start time and peak memory of a command line; for a built file also the first start.
 
-    python packaging/measure_start.py dist/laburnumbridge --root FOLDER [-- check ...]
+python packaging/measure_start.py dist/laburnumbridge --root FOLDER [-- check ...]
 """
 
 from __future__ import annotations
