Add two scenarios that fail because of faults in the libraries

A restarted process serves with the stale platform's version 1 before a peer has told it of version 2.

--- a/scenarios/features/p6_no_new_work.feature
+++ b/scenarios/features/p6_no_new_work.feature
@@ -37,3 +37,10 @@
     Then 0 requests have run
     And 3 guests are told "not run" for the reason "draining"
     And the connection is refused for the reason "draining"
+
+  Scenario: An upstream that left the list long ago
+    Given an open reading stream at agent 3
+    When each balancer lists agent 3 as gone in version 2
+    Then new flows for desk through each balancer reach the agents 1, 2
+    When 700 seconds pass at the balancers
+    Then new flows for desk through each balancer reach the agents 1, 2
--- a/scenarios/features/p8_lists_in_force.feature
+++ b/scenarios/features/p8_lists_in_force.feature
@@ -10,6 +10,16 @@
     Then each change was in force everywhere within 15 seconds
     And no process has gone back to an earlier version
 
+  Scenario: The platform falls back to an older version while processes restart
+    Given 60 processes that hold the lists, lose and reorder messages, seed 5
+    When operators change the guests list to version 2
+    And 15 seconds pass for the lists
+    And the platform falls back to version 1 of the guests list
+    And half of the processes restart
+    And 30 seconds pass for the lists
+    Then version 2 of the guests list is in force everywhere
+    And no process has gone back to an earlier version
+
   Scenario: The platform is down for five minutes
     Given 60 processes that hold the lists, lose and reorder messages, seed 6
     When the platform goes down
