Compare versions with peers before serving, and forget agents that left long ago

Cause: two scenarios found faults. A restarted relay counted a stale platform's answer as confirmation and served before a peer had replied; an agent that left the list came back as live when membership forgot it after 600 s, because the list of departed agents is kept longer. The relay now waits until two peers have told their versions and none is ahead, 10 s at most; an agent that neither list knows has no route, and at most 4,000 departed agents are kept.

--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,13 @@
 	touch $@
 
 format: setup
-	$(BIN)/black --quiet libs scenarios
-	$(BIN)/ruff check --fix --quiet libs scenarios
-	$(BIN)/black --quiet libs scenarios
+	$(BIN)/black --quiet libs scenarios packaging
+	$(BIN)/ruff check --fix --quiet libs scenarios packaging
+	$(BIN)/black --quiet libs scenarios packaging
 
 lint: setup
-	$(BIN)/black --check --quiet libs scenarios
-	$(BIN)/ruff check libs scenarios
+	$(BIN)/black --check --quiet libs scenarios packaging
+	$(BIN)/ruff check libs scenarios packaging
 	$(BIN)/mypy $(foreach name,$(LIBRARIES),-p laburnumbridge.$(name))
 	$(BIN)/lint-imports
 
--- a/libs/configuration/src/laburnumbridge/configuration/configuration_relay.py
+++ b/libs/configuration/src/laburnumbridge/configuration/configuration_relay.py
@@ -54,6 +54,8 @@
 MIN_WINDOW_S = 2.0
 # How long a process with every value in force waits for confirmation before it serves.
 START_WAIT_S = 10.0
+# Peers whose versions a process compares before it serves; one of them may itself be new.
+INFORMED_PEERS = 2
 # Bits of a confirmation's number that count within an incarnation.
 _INCARNATION_SHIFT = 32
 
@@ -85,6 +87,7 @@
         self._whole_values = WholeValueBudget()
         self._confirmation = incarnation << _INCARNATION_SHIFT
         self._complete_at: float | None = None
+        self._informed_peers: set[ProcessId] = set()
         self._serving = False
         self.counters = RelayCounters()
 
@@ -198,6 +201,8 @@
         actions.append(ReportConflict(state.name, state.version, state.digest, digest, source))
 
     def _peer_digest(self, event: PeerDigest, now: float, actions: list[Action]) -> None:
+        if not self._serving and any(told.version for told in event.digests):
+            self._informed_peers.add(event.sender)
         for told in event.digests:
             state = self._state_by_name.get(told.name)
             if state is None:
@@ -342,11 +347,21 @@
             return
         if self._complete_at is None:
             self._complete_at = now
-        settled = all(state.is_settled(now) for state in states)
+        settled = all(state.is_settled(now) for state in states) and self._has_compared()
         if settled or now - self._complete_at >= START_WAIT_S:
             self._serving = True
             actions.append(StartServing())
 
+    def _has_compared(self) -> bool:
+        """Return whether enough peers told their versions and none of them has a newer one.
+
+        A stale platform may offer every value before any peer could answer.
+        """
+        peers = self._topology.peer_count
+        if len(self._informed_peers) < min(INFORMED_PEERS, peers):
+            return False
+        return not any(state.is_behind for state in self._state_by_name.values())
+
     def _digest_for(self, peer: ProcessId, now: float, *, reply_wanted: bool) -> SendDigest:
         told = tuple(state.describe(now) for state in self._state_by_name.values())
         return SendDigest(peer, told, reply_wanted)
--- a/libs/configuration/src/laburnumbridge/configuration/relay_topology.py
+++ b/libs/configuration/src/laburnumbridge/configuration/relay_topology.py
@@ -42,6 +42,11 @@
         """Whether any other process is known."""
         return bool(self._neighbours or self._remote)
 
+    @property
+    def peer_count(self) -> int:
+        """Number of other processes that are known."""
+        return len(self._neighbours) + len(self._remote)
+
     def update(self, members: Sequence[Member]) -> None:
         """Take over a live view."""
         domain = self._failure_domain
--- a/libs/configuration/src/laburnumbridge/configuration/value_state.py
+++ b/libs/configuration/src/laburnumbridge/configuration/value_state.py
@@ -125,6 +125,11 @@
             self._promised = (told.confirmed_by, told.confirmation, heard_at, told.version)
         return False
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether a peer told a version above the one in force."""
+        return any(version > self.version for version in self._version_by_holder.values())
+
     def drop_holder(self, peer: ProcessId) -> None:
         """Forget a peer that didn't deliver."""
         self._version_by_holder.pop(peer, None)
--- a/libs/configuration/tests/test_configuration_relay.py
+++ b/libs/configuration/tests/test_configuration_relay.py
@@ -194,3 +194,50 @@
     def test_unknown_value_is_a_typed_error(self) -> None:
         with pytest.raises(UnknownValueError):
             Driver().send(PlatformNotModified("other"))
+
+
+class TestComparisonBeforeServing:
+    """A stale platform may answer every read before a peer could."""
+
+    OTHERS = tuple(ProcessId(f"peer-{number}") for number in range(7))
+
+    def start(self) -> Driver:
+        driver = Driver()
+        own = Member(ProcessId("own"), FailureDomain("d"))
+        others = tuple(Member(name, FailureDomain("d")) for name in self.OTHERS)
+        driver.send(MembersChanged((own, *others)), 0.0)
+        driver.platform(2)
+        return driver
+
+    def tell(self, driver: Driver, peer: ProcessId, version: int):
+        told = digest(version) if version else ValueDigest("guests", 0, b"")
+        return driver.send(PeerDigest(peer, (told,)))
+
+    def test_newer_version_of_a_peer_must_come_into_force_first(self) -> None:
+        # Guards P8: a process that started with the answer of a stale platform must not serve.
+        driver = self.start()
+        told = self.tell(driver, self.OTHERS[0], 3) + self.tell(driver, self.OTHERS[1], 2)
+        assert kinds(told + driver.send(Tick(), 1.5), StartServing) == []
+        newer = PeerValue(self.OTHERS[0], "guests", 3, digest_of(value(3)), value(3))
+        assert kinds(driver.send(newer, 1.6) + driver.send(Tick(), 1.7), StartServing) != []
+        assert driver.relay.version("guests") == 3
+
+    def test_one_peer_or_one_that_knows_nothing_is_not_enough(self) -> None:
+        # Guards against the answer of a peer that has itself just started.
+        driver = self.start()
+        told = self.tell(driver, self.OTHERS[0], 2) + self.tell(driver, self.OTHERS[1], 0)
+        assert kinds(told + driver.send(Tick(), 1.5), StartServing) == []
+        told = self.tell(driver, self.OTHERS[2], 2)
+        assert kinds(told + driver.send(Tick(), 1.6), StartServing) != []
+
+    def test_every_peer_is_asked_in_time(self) -> None:
+        # Guards against a process that asks the same dead peers again and again.
+        driver = self.start()
+        sent = [d for n in range(36) for d in kinds(driver.send(Tick(), n / 4), SendDigest)]
+        assert {d.peer for d in sent if d.reply_wanted} == set(self.OTHERS)
+
+    def test_process_without_peers_does_not_wait(self) -> None:
+        # Guards against a first process that waits for nobody.
+        driver = Driver()
+        driver.send(MembersChanged((Member(ProcessId("own"), FailureDomain("d")),)), 0.0)
+        assert kinds(driver.platform(1) + driver.send(Tick(), 1.1), StartServing) != []
--- a/libs/runtime/src/laburnumbridge/runtime/fleet_view.py
+++ b/libs/runtime/src/laburnumbridge/runtime/fleet_view.py
@@ -29,6 +29,10 @@
 }
 
 
+# A day's replacements at the size to design for are 710; a lost failure domain has 1,700 agents.
+MAX_GONE_AGENTS = 4_000
+
+
 class FleetView:
     """Parsed lists with their versions; only a higher version replaces one in force."""
 
@@ -116,5 +120,7 @@
         for vm in self.vms.agents:
             if vm.number not in listed:
                 self._gone_by_number[AgentNumber(vm.number or 0)] = vm
+        while len(self._gone_by_number) > MAX_GONE_AGENTS:
+            del self._gone_by_number[next(iter(self._gone_by_number))]
         for number in listed & set(self._gone_by_number):
             del self._gone_by_number[AgentNumber(number or 0)]
--- a/libs/runtime/src/laburnumbridge/runtime/route_table.py
+++ b/libs/runtime/src/laburnumbridge/runtime/route_table.py
@@ -25,15 +25,22 @@
 
 
 def build_routes(view: FleetView, members: MembershipView) -> list[AgentRoute]:
-    """Return a route for each agent of a published service."""
+    """Return a route for each agent of a published service.
+
+    An agent that left the list is gone for as long as membership remembers it; after that no
+    flow of it can be open, and it has no route.
+    """
     numbers = view.service_numbers()
+    listed = {vm.name for vm in view.vms.agents}
+    states = {vm.name: members.state(ProcessId(vm.name)) for vm in view.known_agents()}
     return [
         AgentRoute(
             agent_number=AgentNumber(vm.number or 0),
             service_number=numbers[vm.service],
-            state=_ROUTE_STATES[members.state(ProcessId(vm.name))],
+            state=_ROUTE_STATES[states[vm.name]],
             incarnation=members.incarnation(ProcessId(vm.name)),
         )
         for vm in view.known_agents()
         if vm.service in numbers
+        and (vm.name in listed or states[vm.name] is not MemberState.UNKNOWN)
     ]
--- a/libs/standins/src/laburnumbridge/standins/soak.py
+++ b/libs/standins/src/laburnumbridge/standins/soak.py
@@ -46,8 +46,9 @@
             round_number += 1
             await asyncio.sleep(STEP_S)
         sampler.cancel()
+        imbalance = round(self._fleet.seen.imbalance, 3)
         await self._fleet.close()
-        return await self._figures(seconds, round_number)
+        return {**await self._figures(seconds, round_number), "imbalance_at_end": imbalance}
 
     async def _change(self, number: int) -> None:
         """Replace a balancer, change the plans, or drain an upstream and bring it back."""
@@ -123,7 +124,6 @@
             "answers_cut": seen.requests_cut,
             "refused": dict(seen.refused_by_reason),
             "requests_doubled": sum(count > 1 for count in runs.values()),
-            "imbalance_at_end": round(seen.imbalance, 3),
             "rss_kb": {name: self._rss_kb.get(name, []) for name in steady},
             "rss_slope_kb_per_minute": {
                 name: round(_slope(self._rss_kb.get(name, [])) * 60 / SAMPLE_S, 1)
