Notice a silent connection at both ends within 10 s

Cause: the idle timeout of 9 s starts anew with the first packet that is sent after the last one received, so with a keepalive each 3 s an end could take 12 s. The timeout is now 6.5 s at both ends.

--- a/libs/runtime/src/laburnumbridge/runtime/agent_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/agent_process.py
@@ -42,7 +42,9 @@
     from laburnumbridge.runtime.guest_request import GuestRequest
     from laburnumbridge.settings import AgentSettings
 
-IDLE_TIMEOUT_S = 9.0
+# A silent connection must be noticed within 10 s. Either end sends at least each 3 s, and the
+# timeout starts anew with the first packet sent after the last one received.
+IDLE_TIMEOUT_S = 6.5
 DRAIN_POLL_S = 0.1
 DRAIN_LIMIT_S = 30.0
 
--- a/libs/standins/src/laburnumbridge/standins/fabric.py
+++ b/libs/standins/src/laburnumbridge/standins/fabric.py
@@ -2,7 +2,8 @@
 
 For each guest it opens one socket, so that balancers see a source address per guest and answers
 find their way back. ``PUT /operator/balancers`` replaces the balancers of each service and
-``PUT /operator/faults`` sets ``{"cut": [balancer, ...], "loss": fraction}``.
+``PUT /operator/faults`` sets ``{"cut": [balancer, ...], "loss": fraction}``; with
+``"silence": true`` it loses track of the present guests for good.
 """
 
 from __future__ import annotations
@@ -29,11 +30,12 @@
         self._fabric = fabric
         self._entry = entry
         self._guest = guest
+        self.is_silent = False
         host = entry.address.host
         self.socket = UdpSocket(address=Endpoint(host, 0), on_datagram=self._on_answer)
 
     def _on_answer(self, data: bytes, _address: tuple[str, int]) -> None:
-        if not self._fabric.is_lost():
+        if not self.is_silent and not self._fabric.is_lost():
             self._entry.socket.send(data, self._guest)
 
 
@@ -56,9 +58,14 @@
             port.socket.start()
             self._port_by_guest[guest] = port
         balancer = self._fabric.choose(self._service)
-        if balancer is not None:
+        if balancer is not None and not port.is_silent:
             port.socket.send(data, balancer)
 
+    def silence(self) -> None:
+        """Drop all packets of the present guests for good; new ones aren't affected."""
+        for port in self._port_by_guest.values():
+            port.is_silent = True
+
 
 class FabricStandIn:
     """Sprays datagrams over the balancers at random, from a seed."""
@@ -115,6 +122,9 @@
         faults = await request.json()
         self._cut = set(faults.get("cut", []))
         self._loss = float(faults.get("loss", 0.0))
+        if faults.get("silence"):
+            for entry in self._entries:
+                entry.silence()
         return web.Response()
 
 
--- a/libs/standins/src/laburnumbridge/standins/guest.py
+++ b/libs/standins/src/laburnumbridge/standins/guest.py
@@ -32,7 +32,7 @@
 
     from laburnumbridge.wire import Endpoint
 
-IDLE_TIMEOUT_S = 9.0
+IDLE_TIMEOUT_S = 6.5
 KEEPALIVE_S = 3.0
 _RESET_TOKEN_BYTES = 16
 
--- a/libs/standins/src/laburnumbridge/standins/harness.py
+++ b/libs/standins/src/laburnumbridge/standins/harness.py
@@ -218,9 +218,12 @@
         """Take the platform down, or make it answer with older versions."""
         await self._put(f"{self._prefix}.0.1", "faults", {"down": down, "stale": stale})
 
-    async def set_fabric_faults(self, *, cut: tuple[str, ...] = (), loss: float = 0.0) -> None:
-        """Cut balancers off, or lose a fraction of the packets."""
-        await self._put(f"{self._prefix}.0.2", "faults", {"cut": list(cut), "loss": loss})
+    async def set_fabric_faults(
+        self, *, cut: tuple[str, ...] = (), loss: float = 0.0, silence: bool = False
+    ) -> None:
+        """Cut balancers off, lose a fraction of the packets, or silence the present guests."""
+        faults = {"cut": list(cut), "loss": loss, "silence": silence}
+        await self._put(f"{self._prefix}.0.2", "faults", faults)
 
     async def set_upstream_faults(self, name: str, *, shed: bool) -> None:
         """Make an upstream shed load."""
