--- a/libs/runtime/src/laburnumbridge/runtime/agent_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/agent_process.py
@@ -84,6 +84,7 @@
         await self._core.start(forwarded=ForwardedRequests(runner=self._runner))
         service = self._service()
         self._flows = self._build_flows(service, self._runner, self._policy)
+        self._core.metrics.attach("packets_dropped", self._flows.dropped)
         self._mover = FlowMover(flows=self._flows)
         self._fleet = AgentFleet(
             core=self._core,
--- a/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
@@ -48,6 +48,7 @@
             },
             on_agent_refused=self._on_agent_refused,
         )
+        core.metrics.attach("packets_dropped", self._forwarder.dropped)
         self._apply_list("vms")
         core.view.listen(self._apply_list)
         core.membership.listen(self._apply_routes)
--- a/libs/runtime/src/laburnumbridge/runtime/process_core.py
+++ b/libs/runtime/src/laburnumbridge/runtime/process_core.py
@@ -95,6 +95,7 @@
             channels=self.channels,
             log=self.log,
         )
+        self.metrics.attach("control_dropped", self.link.dropped)
         self.telemetry = TelemetryService(
             registry=self.metrics, ring=self.ring, read_facts=self._read_facts
         )
--- a/libs/telemetry/src/laburnumbridge/telemetry/metric_registry.py
+++ b/libs/telemetry/src/laburnumbridge/telemetry/metric_registry.py
@@ -11,6 +11,8 @@
 from laburnumbridge.telemetry.outcome_window import OutcomeWindow
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from laburnumbridge.telemetry.outcome import Outcome
 
 LOWEST_US = 1
@@ -34,6 +36,7 @@
     def __init__(self) -> None:
         self.counters: Counter[str] = Counter()
         self.gauges: dict[str, float] = {}
+        self._sources: list[tuple[str, Mapping[str, int]]] = []
         self.outcomes_by_series: dict[SeriesKey, Counter[str]] = {}
         self.refusals_by_reason: Counter[str] = Counter()
         self.latency_by_series: dict[SeriesKey, HdrHistogram] = {}
@@ -43,6 +46,17 @@
         """Add to a counter."""
         self.counters[name] += amount
 
+    def attach(self, prefix: str, counts: Mapping[str, int]) -> None:
+        """Report counts that another object keeps, as ``<prefix>_<name>``."""
+        self._sources.append((prefix, counts))
+
+    def all_counters(self) -> dict[str, int]:
+        """Return the counters, with those that are attached."""
+        attached = Counter(self.counters)
+        for prefix, counts in self._sources:
+            attached.update({f"{prefix}_{name}": count for name, count in counts.items()})
+        return dict(attached)
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
         self.gauges[name] = value
--- a/libs/telemetry/src/laburnumbridge/telemetry/prometheus_collector.py
+++ b/libs/telemetry/src/laburnumbridge/telemetry/prometheus_collector.py
@@ -43,7 +43,7 @@
 
     def _counters(self) -> Iterator[Metric]:
         amount_by_name: Counter[str] = Counter()
-        for name, amount in self._registry.counters.items():
+        for name, amount in self._registry.all_counters().items():
             amount_by_name[_metric_name(name)] += amount
         for name, amount in sorted(amount_by_name.items()):
             yield CounterMetricFamily(name, f"Counter {name}.", value=amount)
--- a/libs/telemetry/src/laburnumbridge/telemetry/snapshot_codec.py
+++ b/libs/telemetry/src/laburnumbridge/telemetry/snapshot_codec.py
@@ -37,7 +37,7 @@
     return ProcessSnapshot(
         facts=facts,
         taken_at=now,
-        counters=dict(registry.counters),
+        counters=registry.all_counters(),
         gauges={name: value for name, value in registry.gauges.items() if isfinite(value)},
         refusals_by_reason=dict(registry.refusals_by_reason),
         series=tuple(_take_series(registry, key) for key in ordered),
