--- a/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from laburnumbridge.core import ProcessId
@@ -21,6 +22,11 @@
     from laburnumbridge.settings import BalancerSettings
 
 
+# A fabric takes a while to notice that a balancer leaves; a second without packets ends the wait.
+STOP_LIMIT_S = 30.0
+QUIET_S = 1.0
+
+
 class BalancerProcess(Process):
     """Reads the lists, then forwards packets by their tokens."""
 
@@ -56,13 +62,26 @@
         core.log.write(Event.PROCESS_STARTED, role="balancer")
 
     async def close(self) -> None:
-        """Release the addresses; flows need nothing from this process."""
+        """Forward until the fabric has stopped sending, then release the addresses.
+
+        Flows need nothing from this process; only packets on their way to it would be lost.
+        """
         self._core.log.write(Event.PROCESS_STOPPING)
         self._core.membership.announce_leave()
         if self._forwarder is not None:
+            await self._wait_for_quiet(self._forwarder)
             self._forwarder.close()
         await self._core.close()
 
+    async def _wait_for_quiet(self, forwarder: BalancerForwarder) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + STOP_LIMIT_S
+        while loop.time() < until:
+            before = forwarder.forwarded
+            await asyncio.sleep(QUIET_S)
+            if forwarder.forwarded == before:
+                return
+
     def _service_number(self, name: str) -> ServiceNumber:
         number = self._core.view.service_numbers().get(name)
         if number is None:
--- a/libs/standins/src/laburnumbridge/standins/capacity_page.py
+++ b/libs/standins/src/laburnumbridge/standins/capacity_page.py
@@ -80,7 +80,8 @@
 
 
 def _list(points: dict[str, float]) -> str:
-    return ", ".join(f"{value:g} at {int(size):,}" for size, value in points.items())
+    ordered = sorted((int(size), value) for size, value in points.items())
+    return ", ".join(f"{value:g} at {size:,}" for size, value in ordered)
 
 
 class CapacityPage:
--- a/libs/standins/tests/test_planned_changes.py
+++ b/libs/standins/tests/test_planned_changes.py
@@ -19,6 +19,8 @@
 LEAVING_BOUND_S = 3.0
 # The agent asks its guests over 10 s to open a new connection first.
 MOVED_BOUND_S = 30.0
+# Bounds hanging only: a balancer stops a second after its last packet.
+STOPPED_BOUND_S = 20.0
 
 
 class TestPlannedChanges:
@@ -34,6 +36,7 @@
             await self._kill_balancer(harness)
             await self._freeze_balancer(harness)
             await self._add_balancer(harness)
+            await self._stop_balancer(harness)
             await self._interrupt_platform(harness)
             await self._drain_upstream(harness, desk)
         finally:
@@ -63,6 +66,19 @@
         await harness.publish_balancers(without=("balancer-1",))
         await harness.publish_vms(without=("balancer-1",))
 
+    async def _stop_balancer(self, harness: Harness) -> None:
+        """Stop in order, while the fabric still sends packets for two seconds."""
+        stopping = harness.machines_by_name["balancer-3"].processes[-1]
+        harness.signal("balancer-3", signal.SIGTERM)
+        await asyncio.sleep(SETTLE_S)
+        assert stopping.poll() is None
+        await harness.publish_balancers(without=("balancer-1", "balancer-3"))
+        await harness.publish_vms(without=("balancer-1", "balancer-3"))
+        async with asyncio.timeout(STOPPED_BOUND_S):
+            while stopping.poll() is None:
+                await asyncio.sleep(0.2)
+        assert stopping.returncode == 0
+
     async def _interrupt_platform(self, harness: Harness) -> None:
         await harness.set_platform_faults(down=True)
         await asyncio.sleep(SETTLE_S)
@@ -71,7 +87,7 @@
     async def _drain_upstream(self, harness: Harness, desk: GuestFleet) -> None:
         leaving = "workshop-desk-3"
         harness.machines_by_name[leaving].state = "leaving"
-        await harness.publish_vms(without=("balancer-1",))
+        await harness.publish_vms(without=("balancer-1", "balancer-3"))
         await asyncio.sleep(LEAVING_BOUND_S)
         late = GuestFleet(harness=harness, service="workshop-desk", flows=30)
         try:
