--- a/libs/admission/tests/test_admission.py
+++ b/libs/admission/tests/test_admission.py
@@ -168,7 +168,7 @@
 
 class TestConnections:
     def test_limit_counts_streams_beyond_the_first_of_each_connection(self) -> None:
-        # Guards against more upstream connections than it takes, and against counting a bench
+        # Guards against more upstream connections than it takes, and against counting a flow
         # with its one stream twice.
         upstream = Upstream(connections=3)
         assert upstream.connect(b"a", 0) == [AcceptConnection(ConnectionId(b"a"))]
--- a/libs/requests/src/laburnumbridge/requests/agent_id.py
+++ b/libs/requests/src/laburnumbridge/requests/agent_id.py
@@ -8,6 +8,7 @@
 from laburnumbridge.core import Incarnation
 from laburnumbridge.core import ProcessId
 from laburnumbridge.core import hash64
+from laburnumbridge.core import rendezvous_winner
 
 
 @dataclass(frozen=True, order=True, slots=True)
@@ -18,6 +19,16 @@
     incarnation: Incarnation
 
 
+def winning_agent(key: bytes, agents: Iterable[AgentId]) -> AgentId | None:
+    """Return the agent that ``key`` hashes to, or None without agents.
+
+    Of several incarnations of one process the newest counts.
+    """
+    agents_by_name = {str(agent.process_id): agent for agent in sorted(agents)}
+    winner = rendezvous_winner(key, agents_by_name)
+    return None if winner is None else agents_by_name[winner]
+
+
 def agent_set_digest(agents: Iterable[AgentId]) -> int:
     """Return a hash by which two agents tell whether they see the same set of agents."""
     names = [f"{agent.process_id}/{agent.incarnation}" for agent in sorted(agents)]
--- a/libs/requests/src/laburnumbridge/requests/key_ledger.py
+++ b/libs/requests/src/laburnumbridge/requests/key_ledger.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from laburnumbridge.core import Refusal
-from laburnumbridge.core import rendezvous_winner
 from laburnumbridge.requests.agent_id import agent_set_digest
+from laburnumbridge.requests.agent_id import winning_agent
 from laburnumbridge.requests.key_messages import AgentSetChanged
 from laburnumbridge.requests.key_messages import ArrivalRole
 from laburnumbridge.requests.key_messages import ClaimWithdrawn
@@ -148,9 +148,7 @@
         return self._prove(claim, record, now)
 
     def _owner(self, key: str) -> AgentId:
-        agents_by_name = {str(agent.process_id): agent for agent in sorted(self.agents)}
-        winner = rendezvous_winner(key.encode(), agents_by_name)
-        return agents_by_name[winner] if winner is not None else self.own
+        return winning_agent(key.encode(), self.agents) or self.own
 
     def _follow_fence(self, claim: KeyClaimed, record: KeyRecord) -> list[KeyAction]:
         (holder,) = record.targets
--- a/libs/requests/src/laburnumbridge/requests/request_coordinator.py
+++ b/libs/requests/src/laburnumbridge/requests/request_coordinator.py
@@ -8,10 +8,10 @@
 from laburnumbridge.core import Refusal
 from laburnumbridge.core import RefusalReason
 from laburnumbridge.core import RequestId
-from laburnumbridge.core import rendezvous_rank
 from laburnumbridge.requests import actions as act
 from laburnumbridge.requests import events as ev
 from laburnumbridge.requests import key_messages as keys
+from laburnumbridge.requests.agent_id import winning_agent
 from laburnumbridge.requests.deadline_queue import DeadlineQueue
 from laburnumbridge.requests.finished_requests import FinishedRequests
 from laburnumbridge.requests.key_ledger import KeyLedger
@@ -294,12 +294,8 @@
         return released + self._forward(request, sibling, ArrivalRole.RETRY, now)
 
     def _next_sibling(self, request: TrackedRequest) -> AgentId | None:
-        agents_by_name = {
-            str(agent.process_id): agent
-            for agent in sorted(self.ledger.agents - request.tried - {self.own})
-        }
-        ranked = rendezvous_rank(request.arrival.request_id.encode(), agents_by_name)
-        return agents_by_name[ranked[0]] if ranked else None
+        untried = self.ledger.agents - request.tried - {self.own}
+        return winning_agent(request.arrival.request_id.encode(), untried)
 
     def _forward(
         self, request: TrackedRequest, sibling: AgentId, role: ArrivalRole, now: float
