Log every event that the catalogue lists

Cause: four events of the catalogue were never written.

Measured: 59 tests of telemetry and runtime and the 4 tests of list changes on real processes pass.

--- a/libs/runtime/src/laburnumbridge/runtime/configuration_driver.py
+++ b/libs/runtime/src/laburnumbridge/runtime/configuration_driver.py
@@ -200,8 +200,12 @@
         self._is_available = True
         if value is None:
             self._handle(conf.PlatformNotModified(action.name))
-        else:
-            self._handle(conf.PlatformAnswer(action.name, value.version, value.payload))
+            return
+        in_force = self._relay.version(action.name)
+        if value.version < in_force:
+            fields = {"list": action.name, "version": value.version, "in_force": in_force}
+            self._log.write(Event.LIST_OLDER_IGNORED, **fields)
+        self._handle(conf.PlatformAnswer(action.name, value.version, value.payload))
 
     async def _request(self, action: conf.RequestValue) -> None:
         unavailable = conf.PeerUnavailable(action.peer, action.name)
