--- a/libs/runtime/src/laburnumbridge/runtime/errors.py
+++ b/libs/runtime/src/laburnumbridge/runtime/errors.py
@@ -55,7 +55,9 @@
     """The settings name a service that the platform doesn't publish."""
 
     def __init__(self, *, service: str) -> None:
-        super().__init__(f"service {service!r} is not in the list of services")
+        super().__init__(
+            f"service {service!r} is not in the list of services; correct the settings, or publish it"
+        )
         self.service = service
 
 
--- a/libs/settings/src/laburnumbridge/settings/errors.py
+++ b/libs/settings/src/laburnumbridge/settings/errors.py
@@ -24,6 +24,7 @@
     """The settings don't match their model; ``faults`` holds ``path: message`` lines."""
 
     def __init__(self, *, path: Path, faults: Sequence[str]) -> None:
-        super().__init__(f"settings {path} are not valid: {'; '.join(faults)}")
+        listed = "; ".join(faults)
+        super().__init__(f"settings {path} are not valid: {listed}; correct the named fields")
         self.path = path
         self.faults = tuple(faults)
