--- a/libs/runtime/src/laburnumbridge/runtime/errors.py
+++ b/libs/runtime/src/laburnumbridge/runtime/errors.py
@@ -56,7 +56,7 @@
 
     def __init__(self, *, service: str) -> None:
         super().__init__(
-            f"service {service!r} is not in the list of services; correct the settings, or publish it"
+            f"service {service!r} isn't in the list of services; correct the settings, or publish it"
         )
         self.service = service
 
