--- a/libs/runtime/src/laburnumbridge/runtime/errors.py
+++ b/libs/runtime/src/laburnumbridge/runtime/errors.py
@@ -55,9 +55,8 @@
     """The settings name a service that the platform doesn't publish."""
 
     def __init__(self, *, service: str) -> None:
-        super().__init__(
-            f"service {service!r} isn't in the list of services; correct the settings, or publish it"
-        )
+        step = "correct the settings, or publish it"
+        super().__init__(f"service {service!r} is not in the list of services; {step}")
         self.service = service
 
 
