Keep a balancer's routes when guests or plans change, and drop unread state

FleetView, LeaseDriver and PlacementPolicy kept properties and counts that nothing has read since the follower left. The outcome of a refusal was worked out in two places.

Now only services and vms rebuild the routes, the unread state is gone, and one function maps a refusal. Behaviour towards guests is unchanged.

--- a/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
@@ -26,6 +26,8 @@
 STOP_LIMIT_S = 30.0
 QUIET_S = 1.0
 
+_ROUTING_LISTS = frozenset({"services", "vms"})
+
 
 class BalancerProcess(Process):
     """Reads the lists, then forwards packets by their tokens."""
@@ -96,6 +98,9 @@
     def _apply_list(self, name: str) -> None:
         if self._router is None or self._forwarder is None:
             return
+        # Guests and plans concern the agents; a new table would only empty the decision caches.
+        if name not in _ROUTING_LISTS:
+            return
         view = self._core.view
         codec = view.token_codec()
         if name == "services" and codec is not None:
--- a/libs/runtime/src/laburnumbridge/runtime/fleet_view.py
+++ b/libs/runtime/src/laburnumbridge/runtime/fleet_view.py
@@ -44,16 +44,10 @@
         self.plans: PlanList | None = None
         self.vms = VmList()
         self.directory: GuestDirectory | None = None
-        self.older_ignored = 0
         self._gone_by_number: dict[AgentNumber, Vm] = {}
         self._control_endpoint_by_process: dict[str, Endpoint] = {}
         self._listeners: list[Callable[[str], None]] = []
 
-    @property
-    def is_complete(self) -> bool:
-        """True once every list is in force, so that the process can serve."""
-        return all(version > 0 for version in self.version_by_name.values())
-
     def listen(self, listener: Callable[[str], None]) -> None:
         """Call ``listener(name)`` after each change."""
         self._listeners.append(listener)
@@ -64,7 +58,6 @@
         Raises InvalidListError, and the version in force stays.
         """
         if version <= self.version_by_name[name]:
-            self.older_ignored += version < self.version_by_name[name]
             return False
         model = MODEL_BY_NAME[name]
         parsed = parse_list(name, payload, model)
--- a/libs/runtime/src/laburnumbridge/runtime/lease_driver.py
+++ b/libs/runtime/src/laburnumbridge/runtime/lease_driver.py
@@ -66,11 +66,6 @@
         link.register(MessageKind.LEASE_GRANT, Grant, self._on_grant)
         link.register(MessageKind.LEASE_QUERY, Query, self._on_query)
 
-    @property
-    def plans_held(self) -> list[PlanName]:
-        """The plans whose leases this agent grants."""
-        return list(self._holder_by_plan)
-
     def start(self) -> None:
         """Begin to tick."""
         self._is_started = True
--- a/libs/runtime/src/laburnumbridge/runtime/pipeline_handler.py
+++ b/libs/runtime/src/laburnumbridge/runtime/pipeline_handler.py
@@ -137,8 +137,7 @@
         flow = request.connection.connection_id.hex()
         self._recorder.request_refused(request.request_id, plan, refusal, flow=flow)
         await responder.refuse(refusal)
-        is_plan = refusal.reason.is_plan_limit
-        return Outcome.REFUSED_PLAN if is_plan else Outcome.REFUSED_CAPACITY
+        return _refused_outcome(refusal)
 
     async def _run(
         self, request: GuestRequest, identity: Identity, responder: Responder
@@ -249,9 +248,7 @@
                 return Outcome.ANSWERED, None
             case steps.RefuseStep(refusal):
                 await responder.refuse(refusal)
-                is_plan = refusal.reason.is_plan_limit
-                outcome = Outcome.REFUSED_PLAN if is_plan else Outcome.REFUSED_CAPACITY
-                return outcome, refusal
+                return _refused_outcome(refusal), refusal
             case steps.UnknownStep():
                 await responder.answer_unknown()
                 return Outcome.UNKNOWN, None
@@ -260,6 +257,11 @@
                 return Outcome.ANSWERED, None
 
 
+def _refused_outcome(refusal: Refusal) -> Outcome:
+    is_plan = refusal.reason.is_plan_limit
+    return Outcome.REFUSED_PLAN if is_plan else Outcome.REFUSED_CAPACITY
+
+
 def _build_content(request: GuestRequest, identity: Identity, body: bytes) -> RequestContent:
     key = request.header(KEY_HEADER)
     # Two guests may draw the same key, so the ledger sees it with its owner.
--- a/libs/runtime/src/laburnumbridge/runtime/placement_policy.py
+++ b/libs/runtime/src/laburnumbridge/runtime/placement_policy.py
@@ -48,7 +48,6 @@
         self._reported_flows = 0
         self._reported_at = 0.0
         self.open_flows = 0
-        self.handed_off = 0
         link.register(MessageKind.LOAD_REPORT, plc.LoadReport, self._on_report)
 
     def start(self) -> None:
@@ -92,9 +91,7 @@
         arrived = plc.HandshakeArrived(key=flow_key, was_forwarded=handed_off)
         for action in self._placement.handle(arrived, now):
             if isinstance(action, plc.ForwardHandshake):
-                endpoint = self._endpoint_by_number.get(action.agent_number)
-                self.handed_off += endpoint is not None
-                return endpoint
+                return self._endpoint_by_number.get(action.agent_number)
         return None
 
     def opened(self, now: float) -> None:
