--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,15 @@
+#!/bin/sh
+# Puts what the platform's processes import below target/deps, from a clean checkout.
+set -eu
+requirements=deploy/requirements.txt
+stamp=target/.requirements
+if ! cmp -s "$requirements" "$stamp"; then
+    rm -rf target/deps
+    python3 -m pip install -q --disable-pip-version-check --target target/deps -r "$requirements"
+    cp "$requirements" "$stamp"
+fi
+rm -rf target/deps/laburnumbridge
+for source in libs/core libs/flows libs/catalog libs/forwarding platform; do
+    cp -R "$source/src/laburnumbridge" target/deps/
+done
+python3 -m compileall -q target/deps/laburnumbridge
--- /dev/null
+++ b/libs/catalog/src/laburnumbridge/catalog/__init__.py
@@ -0,0 +1,45 @@
+"""The view of upstreams and routes, read from the platform and shared between processes."""
+
+from __future__ import annotations
+
+from laburnumbridge.catalog.catalog import Catalog
+from laburnumbridge.catalog.errors import MalformedItemError
+from laburnumbridge.catalog.errors import MalformedUpdateError
+from laburnumbridge.catalog.platform_codec import HistoryLostError
+from laburnumbridge.catalog.platform_codec import Listing
+from laburnumbridge.catalog.platform_codec import MalformedAnswerError
+from laburnumbridge.catalog.platform_codec import PlatformCodec
+from laburnumbridge.catalog.platform_codec import PlatformItems
+from laburnumbridge.catalog.platform_codec import PlatformRefusedError
+from laburnumbridge.catalog.read_plan import ReadPlan
+from laburnumbridge.catalog.records import CatalogUpdate
+from laburnumbridge.catalog.records import Route
+from laburnumbridge.catalog.records import RoutingConfiguration
+from laburnumbridge.catalog.records import ServiceShare
+from laburnumbridge.catalog.records import UpstreamEntry
+from laburnumbridge.catalog.records import UpstreamRemoval
+from laburnumbridge.catalog.routes import RouteIndex
+from laburnumbridge.catalog.update_codec import UpdateStream
+from laburnumbridge.catalog.update_codec import encode_update
+
+__all__ = [
+    "Catalog",
+    "CatalogUpdate",
+    "HistoryLostError",
+    "Listing",
+    "MalformedAnswerError",
+    "MalformedItemError",
+    "MalformedUpdateError",
+    "PlatformCodec",
+    "PlatformItems",
+    "PlatformRefusedError",
+    "ReadPlan",
+    "Route",
+    "RouteIndex",
+    "RoutingConfiguration",
+    "ServiceShare",
+    "UpdateStream",
+    "UpstreamEntry",
+    "UpstreamRemoval",
+    "encode_update",
+]
--- /dev/null
+++ b/libs/catalog/src/laburnumbridge/catalog/platform_codec.py
@@ -0,0 +1,80 @@
+"""The platform's calls, as an interface."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import UnavailableError
+
+if TYPE_CHECKING:
+    from laburnumbridge.catalog.errors import MalformedItemError
+    from laburnumbridge.catalog.records import RoutingConfiguration
+    from laburnumbridge.catalog.records import UpstreamEntry
+    from laburnumbridge.catalog.records import UpstreamRemoval
+
+
+class Listing(Enum):
+    """What a process reads in full before it watches for changes."""
+
+    UPSTREAMS = "upstreams"
+    CONFIGURATION = "configuration"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlatformItems:
+    """Decoded items of an answer.
+
+    ``next_after`` is the key to go on from when a listing has more pages. ``malformed`` holds an
+    error for each item that can't be used; the others hold.
+    """
+
+    revision: int
+    entries: tuple[UpstreamEntry, ...] = ()
+    removals: tuple[UpstreamRemoval, ...] = ()
+    configuration: RoutingConfiguration | None = None
+    malformed: tuple[MalformedItemError, ...] = ()
+    next_after: str | None = None
+
+
+class PlatformRefusedError(UnavailableError):
+    """The platform answered a call with a status that is not a success."""
+
+    def __init__(self, *, status: int) -> None:
+        super().__init__(f"the platform refused a call with status {status}")
+        self.status = status
+
+
+class HistoryLostError(PlatformRefusedError):
+    """The platform no longer has the changes after the revision asked for."""
+
+
+class MalformedAnswerError(UnavailableError):
+    """The platform's answer can't be decoded."""
+
+    def __init__(self, *, reason: str) -> None:
+        super().__init__(f"an answer of the platform can't be decoded: {reason}")
+        self.reason = reason
+
+
+class PlatformCodec(ABC):
+    """Builds the targets of calls and decodes their answers."""
+
+    @abstractmethod
+    def listing_target(self, listing: Listing, after: str | None) -> str:
+        """Return the request target of one page of a listing."""
+
+    @abstractmethod
+    def watch_target(self, after_revision: int, wait_ms: int) -> str:
+        """Return the request target that waits for changes after a revision."""
+
+    @abstractmethod
+    def decode_listing(self, status: int, body: bytes) -> PlatformItems:
+        """Decode a page. Raises PlatformRefusedError or MalformedAnswerError."""
+
+    @abstractmethod
+    def decode_watch(self, status: int, body: bytes) -> PlatformItems:
+        """Decode changes. Raises PlatformRefusedError, HistoryLostError or MalformedAnswerError."""
--- /dev/null
+++ b/libs/catalog/src/laburnumbridge/catalog/reading_rule.py
@@ -0,0 +1,54 @@
+"""Which processes read the platform themselves."""
+
+from __future__ import annotations
+
+from laburnumbridge.core import hash64
+
+FRESH_S = 5.0
+"""A view confirmed longer ago than this is not fresh: a watch confirms it within 4 s."""
+FIRST_WAIT_S = 0.8
+"""At its start a process waits this long for its peers' view; they start within 0.3 s."""
+SPREAD_S = 1.5
+"""Processes without fresh news begin to read spread over this time, so that the first serve the
+others."""
+
+
+class ReadingRule:
+    """Decides whether a process reads the platform or leaves that to its peers.
+
+    Each call to the platform counts, so few processes read: those that the settings name as
+    seeds. Another process reads only while it gets no fresh view, and it stops when a process of
+    higher rank confirms the view. Seeds rank before others, then the name decides.
+    """
+
+    def __init__(self, *, process: str, now: float) -> None:
+        self._process = process
+        self._started_at = now
+        spread = hash64(process.encode()) / (1 << 64)
+        self._patience_s = spread * SPREAD_S
+        self._is_seed = False
+        self._confirmed_elsewhere_at: float | None = None
+
+    def reader_name(self, *, is_seed: bool) -> str:
+        """Return the name under which this process confirms a view; it sorts by rank."""
+        return f"{0 if is_seed else 1}/{self._process}"
+
+    def on_confirmed(self, confirmed_by: str, age_s: float, now: float) -> None:
+        """Note that a peer's news was confirmed by the reader ``confirmed_by``."""
+        own_name = self.reader_name(is_seed=self._is_seed)
+        if not confirmed_by or confirmed_by.endswith(f"/{self._process}"):
+            return
+        if confirmed_by > own_name:
+            return
+        confirmed_at = now - age_s
+        if self._confirmed_elsewhere_at is None or confirmed_at > self._confirmed_elsewhere_at:
+            self._confirmed_elsewhere_at = confirmed_at
+
+    def should_read(self, *, is_seed: bool, now: float) -> bool:
+        """Return whether the process reads the platform now."""
+        self._is_seed = is_seed
+        if is_seed:
+            return True
+        if self._confirmed_elsewhere_at is None:
+            return now - self._started_at > FIRST_WAIT_S + self._patience_s
+        return now - self._confirmed_elsewhere_at > FRESH_S + self._patience_s
--- a/libs/core/src/laburnumbridge/core/__init__.py
+++ b/libs/core/src/laburnumbridge/core/__init__.py
@@ -6,6 +6,7 @@
 from laburnumbridge.core.errors import InvalidInputError
 from laburnumbridge.core.errors import LaburnumbridgeError
 from laburnumbridge.core.errors import UnavailableError
+from laburnumbridge.core.event import Event
 from laburnumbridge.core.hashing import hash64
 from laburnumbridge.core.hashing import rendezvous_rank
 from laburnumbridge.core.hashing import rendezvous_winner
@@ -25,6 +26,7 @@
 __all__ = [
     "AgentNumber",
     "Choice",
+    "Event",
     "FailureDomain",
     "GuestName",
     "Incarnation",
--- /dev/null
+++ b/libs/flows/src/laburnumbridge/flows/__init__.py
@@ -0,0 +1,31 @@
+"""Decisions about flows whose packets are forwarded without being ended."""
+
+from __future__ import annotations
+
+from laburnumbridge.flows.agent_ranking import AgentRanking
+from laburnumbridge.flows.errors import MalformedPacketError
+from laburnumbridge.flows.errors import MalformedPeerDatagramError
+from laburnumbridge.flows.expiring_map import ExpiringMap
+from laburnumbridge.flows.flow_directory import FlowDirectory
+from laburnumbridge.flows.flow_directory import FlowRecord
+from laburnumbridge.flows.flow_directory import FlowState
+from laburnumbridge.flows.flow_packet import FlowKey
+from laburnumbridge.flows.flow_packet import FlowPacket
+from laburnumbridge.flows.packet_codec import PacketCodec
+from laburnumbridge.flows.upstream_choice import Candidate
+from laburnumbridge.flows.upstream_choice import UpstreamChoice
+
+__all__ = [
+    "AgentRanking",
+    "Candidate",
+    "ExpiringMap",
+    "FlowDirectory",
+    "FlowKey",
+    "FlowPacket",
+    "FlowRecord",
+    "FlowState",
+    "MalformedPacketError",
+    "MalformedPeerDatagramError",
+    "PacketCodec",
+    "UpstreamChoice",
+]
--- /dev/null
+++ b/libs/flows/src/laburnumbridge/flows/agent_ranking.py
@@ -0,0 +1,58 @@
+"""The order in which the agents of a service are asked for a flow."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import hash64
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from laburnumbridge.flows.flow_packet import FlowKey
+
+
+class AgentRanking:
+    """Rendezvous order of a service's agents for each flow.
+
+    The first agents of the order keep the record of where a flow is open, so an entry VM finds a
+    flow that it doesn't know in two hops. ``next_after`` needs only the weight of the agent that
+    asks: agents whose views differ still walk in one direction, and every walk ends.
+    """
+
+    def __init__(self, *, agents: Iterable[str] = ()) -> None:
+        self._prefix_by_agent = {agent: agent.encode() + b"\0" for agent in agents}
+
+    def __len__(self) -> int:
+        return len(self._prefix_by_agent)
+
+    def __contains__(self, agent: str) -> bool:
+        return agent in self._prefix_by_agent
+
+    @property
+    def agents(self) -> tuple[str, ...]:
+        """Addresses of all agents, in no particular order."""
+        return tuple(self._prefix_by_agent)
+
+    def keepers(self, flow: FlowKey, count: int) -> list[str]:
+        """Return the first ``count`` agents for ``flow``."""
+        ranked = sorted(
+            ((hash64(prefix + flow), agent) for agent, prefix in self._prefix_by_agent.items()),
+            reverse=True,
+        )
+        return [agent for _, agent in ranked[:count]]
+
+    def first(self, flow: FlowKey) -> str | None:
+        """Return the first agent for ``flow``, or None without agents."""
+        keepers = self.keepers(flow, 1)
+        return keepers[0] if keepers else None
+
+    def next_after(self, flow: FlowKey, agent: str) -> str | None:
+        """Return the agent that follows ``agent`` for ``flow``; None ends the walk."""
+        own = (hash64(agent.encode() + b"\0" + flow), agent)
+        following = None
+        for candidate, prefix in self._prefix_by_agent.items():
+            weight = (hash64(prefix + flow), candidate)
+            if weight < own and (following is None or weight > following):
+                following = weight
+        return following[1] if following else None
--- /dev/null
+++ b/libs/flows/src/laburnumbridge/flows/expiring_map.py
@@ -0,0 +1,57 @@
+"""A bounded map whose entries expire."""
+
+from __future__ import annotations
+
+from typing import Generic
+from typing import TypeVar
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+class ExpiringMap(Generic[K, V]):
+    """Keeps at most ``limit`` entries, each until ``ttl_s`` after it was last put or touched.
+
+    The dictionary's order is the order of use, so expiry looks at the oldest entries only.
+    """
+
+    def __init__(self, *, ttl_s: float, limit: int) -> None:
+        self._ttl_s = ttl_s
+        self._limit = limit
+        self._by_key: dict[K, tuple[float, V]] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    def put(self, key: K, value: V, now: float) -> None:
+        """Store ``value``; the oldest entry goes when the map is full."""
+        self._by_key.pop(key, None)
+        if len(self._by_key) >= self._limit:
+            del self._by_key[next(iter(self._by_key))]
+        self._by_key[key] = (now + self._ttl_s, value)
+
+    def get(self, key: K, now: float) -> V | None:
+        """Return the value of ``key`` unless it has expired."""
+        entry = self._by_key.get(key)
+        return entry[1] if entry and entry[0] > now else None
+
+    def touch(self, key: K, now: float) -> V | None:
+        """Return the value of ``key`` and restart its lifetime."""
+        value = self.get(key, now)
+        if value is not None:
+            self.put(key, value, now)
+        return value
+
+    def pop(self, key: K) -> None:
+        """Remove ``key`` if it is there."""
+        self._by_key.pop(key, None)
+
+    def expire(self, now: float) -> int:
+        """Remove expired entries and return how many went."""
+        expired = 0
+        for key, (deadline, _) in list(self._by_key.items()):
+            if deadline > now:
+                break
+            del self._by_key[key]
+            expired += 1
+        return expired
--- /dev/null
+++ b/libs/flows/src/laburnumbridge/flows/flow_directory.py
@@ -0,0 +1,220 @@
+"""The flows that are open at one upstream."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from laburnumbridge.flows.flow_packet import sequence_distance
+
+if TYPE_CHECKING:
+    from laburnumbridge.flows.flow_packet import FlowKey
+    from laburnumbridge.flows.flow_packet import FlowPacket
+
+HALF_OPEN_S = 1.5
+"""A client gives up on an opening after 1.4 s."""
+CLOSED_S = 4.0
+"""Covers the retransmissions of a last packet: 0.2 + 0.4 + 0.8 + 1.6 s, with a margin."""
+REQUEST_PENDING_S = 0.25
+"""A client that opened a flow sends its request with the next packet; one round trip is 4 ms."""
+OPEN_WINDOW_BYTES = 76_800
+"""An acknowledgement this close behind the upstream's first sequence number proves the opening."""
+
+
+class FlowState(Enum):
+    """What the directory knows of a flow."""
+
+    HALF_OPEN = 1
+    OPEN = 2
+    CLOSED = 3
+
+
+@dataclass(kw_only=True, slots=True)
+class FlowRecord:
+    """One flow; times are monotonic seconds.
+
+    ``upstream_sequence`` is the first sequence number that the upstream chose, or None for a flow
+    whose opening this process has not seen. ``request_since`` is when the request that the
+    upstream works on arrived, or None between requests.
+    """
+
+    state: FlowState
+    opened_at: float
+    last_seen: float
+    upstream_sequence: int | None = None
+    client_sequence: int | None = None
+    client_acknowledged: int = 0
+    request_since: float | None = None
+    answered_since_request: bool = True
+    client_finished: bool = False
+    upstream_finished: bool = False
+    requests: int = 0
+
+
+class FlowDirectory:
+    """Follows every packet between the clients and one upstream.
+
+    Answers which flows are open there and how many requests the upstream works on. Bounded by
+    ``limit`` records; idle and old flows expire.
+    """
+
+    def __init__(self, *, limit: int, idle_s: float, max_age_s: float) -> None:
+        self._limit = limit
+        self.idle_s = idle_s
+        self._max_age_s = max_age_s
+        self._by_flow: dict[FlowKey, FlowRecord] = {}
+        self._busy: set[FlowKey] = set()
+        self._open = 0
+        self.answer_seconds: list[float] = []
+
+    def __len__(self) -> int:
+        return len(self._by_flow)
+
+    @property
+    def open_flows(self) -> int:
+        """Number of open flows."""
+        return self._open
+
+    @property
+    def busy(self) -> int:
+        """Requests at work, and flows that are about to send their first request."""
+        return len(self._busy)
+
+    def flows_open(self) -> list[FlowKey]:
+        """Return the keys of all open flows."""
+        return [
+            flow for flow, record in self._by_flow.items() if record.state is FlowState.OPEN
+        ]
+
+    def get(self, flow: FlowKey) -> FlowRecord | None:
+        """Return the record of ``flow``."""
+        return self._by_flow.get(flow)
+
+    def expect(self, flow: FlowKey, now: float) -> None:
+        """Count an opening packet that is handed to the upstream as work to come."""
+        if flow not in self._by_flow and len(self._by_flow) < self._limit:
+            self._by_flow[flow] = FlowRecord(
+                state=FlowState.HALF_OPEN, opened_at=now, last_seen=now, request_since=now
+            )
+            self._busy.add(flow)
+
+    def client_packet(self, packet: FlowPacket, now: float) -> bool:
+        """Follow a packet other than an opening one; True if the flow is held here.
+
+        A half-open flow whose packet acknowledges another upstream's answer is forgotten: the
+        client chose the other one.
+        """
+        record = self._by_flow.get(packet.flow)
+        if record is None:
+            return False
+        if record.state is FlowState.HALF_OPEN:
+            if record.upstream_sequence is None or (
+                sequence_distance(record.upstream_sequence, packet.acknowledged)
+                > OPEN_WINDOW_BYTES
+            ):
+                self.forget(packet.flow)
+                return False
+            record.state = FlowState.OPEN
+            self._open += 1
+        record.last_seen = now
+        record.client_acknowledged = packet.acknowledged
+        if packet.is_reset:
+            self._close(packet.flow, record)
+            return True
+        if packet.data_length:
+            self._follow_request(packet, record, now)
+        if packet.is_final:
+            record.client_finished = True
+            self._finish(packet.flow, record)
+        return True
+
+    def _follow_request(self, packet: FlowPacket, record: FlowRecord, now: float) -> None:
+        end = packet.sequence + packet.data_length
+        seen = record.client_sequence
+        if seen is not None and sequence_distance(seen, end) > (1 << 31):
+            return  # a copy of what was seen before
+        if seen is not None and sequence_distance(seen, end) == 0:
+            return
+        record.client_sequence = end % (1 << 32)
+        if record.answered_since_request:
+            record.answered_since_request = False
+            record.requests += 1
+            record.request_since = now
+        self._busy.add(packet.flow)
+
+    def upstream_packet(self, packet: FlowPacket, now: float) -> bool:
+        """Follow a packet that the upstream sent; True if this shows a flow not known before."""
+        record = self._by_flow.get(packet.flow)
+        if packet.is_opening_answer:
+            if record is None and len(self._by_flow) < self._limit:
+                record = FlowRecord(
+                    state=FlowState.HALF_OPEN, opened_at=now, last_seen=now, request_since=now
+                )
+                self._by_flow[packet.flow] = record
+                self._busy.add(packet.flow)
+            if record is not None and record.state is FlowState.HALF_OPEN:
+                record.upstream_sequence = packet.sequence
+            return False
+        discovered = record is None and not packet.is_reset
+        if record is None:
+            if packet.is_reset or len(self._by_flow) >= self._limit:
+                return False
+            record = FlowRecord(state=FlowState.OPEN, opened_at=now, last_seen=now)
+            self._by_flow[packet.flow] = record
+            self._open += 1
+        record.last_seen = now
+        if packet.is_reset:
+            self._close(packet.flow, record)
+            return False
+        if packet.data_length and not record.answered_since_request:
+            record.answered_since_request = True
+            self._busy.discard(packet.flow)
+            if record.request_since is not None and len(self.answer_seconds) < 1024:
+                self.answer_seconds.append(now - record.request_since)
+            record.request_since = None
+        if packet.is_final:
+            record.upstream_finished = True
+            self._busy.discard(packet.flow)
+            self._finish(packet.flow, record)
+        return discovered
+
+    def _finish(self, flow: FlowKey, record: FlowRecord) -> None:
+        if record.client_finished and record.upstream_finished:
+            self._close(flow, record)
+
+    def _close(self, flow: FlowKey, record: FlowRecord) -> None:
+        if record.state is FlowState.OPEN:
+            self._open -= 1
+        record.state = FlowState.CLOSED
+        self._busy.discard(flow)
+
+    def forget(self, flow: FlowKey) -> None:
+        """Drop the record of ``flow``."""
+        record = self._by_flow.pop(flow, None)
+        if record is None:
+            return
+        if record.state is FlowState.OPEN:
+            self._open -= 1
+        self._busy.discard(flow)
+
+    def expire(self, now: float) -> list[FlowKey]:
+        """Drop what is over; return the half-open flows that the upstream never answered."""
+        unanswered = []
+        for flow in list(self._busy):
+            record = self._by_flow[flow]
+            if record.requests == 0 and now - record.opened_at > REQUEST_PENDING_S:
+                self._busy.discard(flow)
+        for flow, record in list(self._by_flow.items()):
+            silent_s = now - record.last_seen
+            if record.state is FlowState.OPEN:
+                if silent_s > self.idle_s or now - record.opened_at > self._max_age_s + self.idle_s:
+                    self.forget(flow)
+            elif record.state is FlowState.CLOSED:
+                if silent_s > CLOSED_S:
+                    self.forget(flow)
+            elif silent_s > HALF_OPEN_S:
+                if record.upstream_sequence is None:
+                    unanswered.append(flow)
+                self.forget(flow)
+        return unanswered
--- /dev/null
+++ b/libs/flows/src/laburnumbridge/flows/upstream_choice.py
@@ -0,0 +1,125 @@
+"""Which agent gets an opening packet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import Choice
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from laburnumbridge.flows.peer_datagrams import LoadReport
+
+PENDING_S = 0.05
+"""How long an own placement counts before the agent's report shows it: two report intervals."""
+STALE_REPORT_S = 1.0
+"""After this a report of busy slots says nothing: requests take a tenth of it."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Candidate:
+    """An agent that may take a new flow.
+
+    ``slow_start`` lies in (0, 1]; a starting upstream counts as having that share of its slots.
+    """
+
+    agent: str
+    failure_domain: str
+    slots: int
+    slow_start: float
+
+
+@dataclass(kw_only=True, slots=True)
+class _KnownLoad:
+    report: LoadReport
+    reported_at: float
+
+
+class UpstreamChoice:
+    """Places opening packets by load; answers the load of many short requests on few slots.
+
+    A flow that carries one request goes to the upstream with the most free slots. A long flow goes
+    to the upstream with the fewest open flows for its slots, since its requests come later.
+    Ties go to a hash of the flow, so that balancers with the same view don't pick the same agent.
+    """
+
+    def __init__(self, *, seed: int) -> None:
+        self._choice = Choice(seed=seed)
+        self._load_by_agent: dict[str, _KnownLoad] = {}
+        self._placed_by_agent: dict[str, list[float]] = {}
+        self._avoid_until_by_agent: dict[str, float] = {}
+
+    def report(self, agent: str, report: LoadReport, now: float) -> None:
+        """Take in a load report."""
+        self._load_by_agent[agent] = _KnownLoad(report=report, reported_at=now)
+
+    def keep_only(self, agents: Collection[str]) -> None:
+        """Drop what is known of all other agents."""
+        for table in (
+            self._load_by_agent,
+            self._placed_by_agent,
+            self._avoid_until_by_agent,
+        ):
+            for agent in [agent for agent in table if agent not in agents]:
+                del table[agent]  # type: ignore[attr-defined]
+
+    def avoid(self, agent: str, until: float) -> None:
+        """Place nothing on ``agent`` before ``until`` while another one can take it."""
+        self._avoid_until_by_agent[agent] = until
+
+    def choose(
+        self,
+        candidates: Collection[Candidate],
+        *,
+        is_long: bool,
+        now: float,
+        excluded: Collection[str] = (),
+    ) -> str | None:
+        """Return the agent for a new flow, or None if there is no candidate."""
+        best: tuple[float, float, float] | None = None
+        chosen = None
+        for candidate in candidates:
+            if candidate.agent in excluded:
+                continue
+            score = self._score(candidate, is_long=is_long, now=now)
+            if best is None or score < best:
+                best = score
+                chosen = candidate.agent
+        if chosen is not None:
+            self._placed_by_agent.setdefault(chosen, []).append(now)
+        return chosen
+
+    def _score(
+        self, candidate: Candidate, *, is_long: bool, now: float
+    ) -> tuple[float, float, float]:
+        capacity = max(candidate.slots * candidate.slow_start, 0.25)
+        pending = self._pending(candidate.agent, now)
+        known = self._load_by_agent.get(candidate.agent)
+        busy, open_flows, available = 0, 0, True
+        if known is not None:
+            open_flows = known.report.open_flows
+            available = known.report.is_available
+            if now - known.reported_at < STALE_REPORT_S:
+                busy = known.report.busy
+        if self._avoid_until_by_agent.get(candidate.agent, 0.0) > now:
+            available = False
+        busy_share = (busy + pending) / capacity
+        flow_share = (open_flows + pending) / capacity
+        shares = (flow_share, busy_share) if is_long else (busy_share, flow_share)
+        penalty = 0.0 if available else 1e6
+        return (penalty + shares[0], shares[1], self._choice.fraction())
+
+    def _pending(self, agent: str, now: float) -> int:
+        placed = self._placed_by_agent.get(agent)
+        if not placed:
+            return 0
+        known = self._load_by_agent.get(agent)
+        # A report that is older than the placement can't contain it.
+        while placed and (
+            now - placed[0] > STALE_REPORT_S
+            or (now - placed[0] > PENDING_S and known and known.reported_at > placed[0])
+        ):
+            placed.pop(0)
+        return len(placed)
--- /dev/null
+++ b/libs/forwarding/src/laburnumbridge/forwarding/errors.py
@@ -0,0 +1,34 @@
+"""Errors of the forwarding library."""
+
+from __future__ import annotations
+
+from laburnumbridge.core import InvalidInputError
+from laburnumbridge.core import UnavailableError
+
+
+class InvalidSettingsError(InvalidInputError):
+    """The settings can't be used; ``field`` names the place."""
+
+    def __init__(self, *, path: str, field: str, reason: str) -> None:
+        super().__init__(f"settings {path}: {field}: {reason}")
+        self.path = path
+        self.field = field
+        self.reason = reason
+
+
+class SocketUnavailableError(UnavailableError):
+    """An address of the settings can't be bound."""
+
+    def __init__(self, *, endpoint: str, reason: str) -> None:
+        super().__init__(f"can't listen on {endpoint}: {reason}; is another process using it?")
+        self.endpoint = endpoint
+        self.reason = reason
+
+
+class UnknownRoleError(InvalidInputError):
+    """The command names a role that doesn't exist."""
+
+    def __init__(self, *, role: str, known: tuple[str, ...]) -> None:
+        super().__init__(f"role {role!r} doesn't exist; use one of {', '.join(known)}")
+        self.role = role
+        self.known = known
--- /dev/null
+++ b/libs/forwarding/src/laburnumbridge/forwarding/event_loop.py
@@ -0,0 +1,141 @@
+"""A small event loop on epoll."""
+
+from __future__ import annotations
+
+import heapq
+import select
+import signal
+import time
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LONGEST_WAIT_S = 0.2
+"""A signal is handled after this time at the latest."""
+
+
+class Timer:
+    """A call that is due; ``cancel`` takes it back."""
+
+    __slots__ = ("callback", "due")
+
+    def __init__(self, *, due: float, callback: Callable[[], None]) -> None:
+        self.due = due
+        self.callback: Callable[[], None] | None = callback
+
+    def cancel(self) -> None:
+        """Don't make the call."""
+        self.callback = None
+
+
+class EventLoop:
+    """Calls back for readable and writable descriptors, due timers and signals.
+
+    asyncio isn't used here: importing it alone takes 11 MB of resident memory, half of what a
+    process on the platform's path may use.
+    """
+
+    def __init__(self) -> None:
+        self._poll = select.epoll()
+        self._reader_by_fd: dict[int, Callable[[], None]] = {}
+        self._writer_by_fd: dict[int, Callable[[], None]] = {}
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._sequence = 0
+        self._running = False
+        self._signals: list[int] = []
+        self._handler_by_signal: dict[int, Callable[[], None]] = {}
+
+    @staticmethod
+    def now() -> float:
+        """Return monotonic seconds."""
+        return time.monotonic()
+
+    def on_signal(self, number: int, handler: Callable[[], None]) -> None:
+        """Call ``handler`` in the loop after the signal arrives."""
+        self._handler_by_signal[number] = handler
+        signal.signal(number, lambda received, _frame: self._signals.append(received))
+
+    def watch(
+        self,
+        fd: int,
+        *,
+        reader: Callable[[], None] | None = None,
+        writer: Callable[[], None] | None = None,
+    ) -> None:
+        """Set what is called when ``fd`` can be read or written; replaces earlier calls."""
+        known = fd in self._reader_by_fd or fd in self._writer_by_fd
+        for table, callback in ((self._reader_by_fd, reader), (self._writer_by_fd, writer)):
+            if callback is None:
+                table.pop(fd, None)
+            else:
+                table[fd] = callback
+        mask = (select.EPOLLIN if reader else 0) | (select.EPOLLOUT if writer else 0)
+        if known:
+            self._poll.modify(fd, mask)
+        else:
+            self._poll.register(fd, mask)
+
+    def unwatch(self, fd: int) -> None:
+        """Forget ``fd``; call this before it is closed."""
+        if fd in self._reader_by_fd or fd in self._writer_by_fd:
+            self._poll.unregister(fd)
+        self._reader_by_fd.pop(fd, None)
+        self._writer_by_fd.pop(fd, None)
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Timer:
+        """Call ``callback`` once after ``delay_s``."""
+        timer = Timer(due=self.now() + delay_s, callback=callback)
+        self._sequence += 1
+        heapq.heappush(self._timers, (timer.due, self._sequence, timer))
+        return timer
+
+    def call_every(self, interval_s: float, callback: Callable[[], None]) -> None:
+        """Call ``callback`` each ``interval_s`` until the loop ends."""
+
+        def run() -> None:
+            self.call_later(interval_s, run)
+            callback()
+
+        self.call_later(interval_s, run)
+
+    def run(self) -> None:
+        """Run until ``stop`` is called."""
+        self._running = True
+        while self._running:
+            self._poll_once()
+            self._run_signals()
+            self._run_timers()
+
+    def stop(self) -> None:
+        """End ``run`` after the current callback."""
+        self._running = False
+
+    def close(self) -> None:
+        """Release the loop's descriptor."""
+        self._poll.close()
+
+    def _poll_once(self) -> None:
+        wait_s = LONGEST_WAIT_S
+        if self._timers:
+            wait_s = min(wait_s, max(0.0, self._timers[0][0] - self.now()))
+        for fd, mask in self._poll.poll(wait_s):
+            if mask & ~select.EPOLLOUT:
+                callback = self._reader_by_fd.get(fd) or self._writer_by_fd.get(fd)
+                if callback:
+                    callback()
+            if mask & select.EPOLLOUT:
+                callback = self._writer_by_fd.get(fd)
+                if callback:
+                    callback()
+
+    def _run_signals(self) -> None:
+        while self._signals:
+            self._handler_by_signal[self._signals.pop(0)]()
+
+    def _run_timers(self) -> None:
+        now = self.now()
+        while self._timers and self._timers[0][0] <= now:
+            timer = heapq.heappop(self._timers)[2]
+            if timer.callback is not None:
+                timer.callback()
--- /dev/null
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -0,0 +1,518 @@
+"""The process beside an upstream that forwards packets of flows."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+
+from laburnumbridge.core import Event
+from laburnumbridge.core import hash64
+from laburnumbridge.flows import ExpiringMap
+from laburnumbridge.flows import FlowDirectory
+from laburnumbridge.flows import FlowState
+from laburnumbridge.flows import MalformedPacketError
+from laburnumbridge.flows import MalformedPeerDatagramError
+from laburnumbridge.flows import UpstreamChoice
+from laburnumbridge.flows.peer_datagrams import FLOWS_PER_DATAGRAM
+from laburnumbridge.flows.peer_datagrams import DatagramKind
+from laburnumbridge.flows.peer_datagrams import Envelope
+from laburnumbridge.flows.peer_datagrams import FlowsLocated
+from laburnumbridge.flows.peer_datagrams import LoadReport
+from laburnumbridge.flows.peer_datagrams import SearchStage
+from laburnumbridge.flows.peer_datagrams import decode_envelope
+from laburnumbridge.flows.peer_datagrams import decode_flows
+from laburnumbridge.flows.peer_datagrams import decode_load
+from laburnumbridge.flows.peer_datagrams import encode_envelope
+from laburnumbridge.flows.peer_datagrams import encode_flows
+from laburnumbridge.flows.peer_datagrams import encode_load
+from laburnumbridge.forwarding.endpoints import parse_endpoint
+from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
+from laburnumbridge.forwarding.forwarding_process import flow_text
+from laburnumbridge.forwarding.service_directory import service_tag
+from laburnumbridge.forwarding.udp_port import UdpPort
+from laburnumbridge.forwarding.upstream_probe import ProbeOutcome
+from laburnumbridge.forwarding.upstream_probe import UpstreamProbe
+
+if TYPE_CHECKING:
+    from laburnumbridge.catalog import CatalogUpdate
+    from laburnumbridge.flows import FlowKey
+    from laburnumbridge.flows import FlowPacket
+    from laburnumbridge.forwarding.endpoints import Endpoint
+
+FLOWS_LIMIT = 20_000
+"""Ten times the connections that an upstream holds, for flows that have closed."""
+DEFAULT_IDLE_S = 15.0
+"""Used until a configuration is known."""
+RECORDS_LIMIT = 50_000
+"""Twice the flows of 8,500 agents that hold 565 each, spread over all of them, is 1,130."""
+RECORD_REFRESH_S = 5.0
+RECORD_TTL_S = 3 * RECORD_REFRESH_S
+KEEPERS = 2
+"""Agents that know where a flow is; losing one costs nothing."""
+RECORD_AGE_S = 0.3
+"""Shorter flows get no record: they are over before the fabric's hash is likely to change."""
+HANDED_OVER_S = 3.0
+"""Covers an opening packet's copies and the answer's way through the first agent."""
+MAX_HANDOVERS = 3
+"""A packet that three agents could not take is refused: a fourth would hardly differ."""
+MAX_HOPS = 200
+"""Ends a search whose agents disagree; the ranking alone ends all others."""
+REPORT_INTERVAL_S = 0.02
+REPORT_AT_LEAST_S = 0.2
+"""A balancer that sent packets hears from the agent this often even without a change."""
+REPORTER_S = 1.0
+"""Balancers and agents that sent packets within this time get load reports."""
+UNANSWERED_OPENING_S = 0.08
+"""An upstream answers an opening packet within a millisecond unless it is gone or stuck."""
+UPKEEP_S = 0.05
+EXPIRY_S = 0.5
+PROBE_AGAIN_S = 0.5
+SETTLED_S = 1.0
+"""A search that found nothing counts only when the list of agents has not changed for so long."""
+FRESH_VIEW_S = 5.0
+STOP_WAIT_S = 0.3
+"""A planned stop lets requests that are at work end; three times the mean time of one."""
+DELIVERIES_LIMIT = 4_096
+"""Packets whose return from the upstream is expected; it returns them within a millisecond."""
+
+
+@dataclass(kw_only=True, slots=True)
+class _Delivery:
+    """A packet that was handed to the upstream, in case it comes back."""
+
+    envelope: Envelope
+    delivered_at: float
+
+
+@dataclass(kw_only=True, slots=True)
+class _Reporter:
+    """A process that sent packets and gets load reports for it."""
+
+    heard_at: float
+    reported_at: float = 0.0
+    reported: LoadReport | None = None
+
+
+class FlowAgent(ForwardingProcess):
+    """Hands packets to the upstream beside it and the upstream's packets to clients.
+
+    It knows which flows are open here, passes opening packets on that its upstream can't take,
+    and passes packets of other flows on until the agent of the flow is found.
+    """
+
+    def __init__(self, **arguments: Any) -> None:
+        super().__init__(**arguments)
+        upstream = self.settings.upstream
+        assert upstream is not None, "an agent's settings name its upstream"
+        self._upstream_endpoint = parse_endpoint(upstream.endpoint)
+        self._own_tag = service_tag(upstream.service)
+        self._outputs = UdpPort(
+            loop=self.loop,
+            endpoint=parse_endpoint(upstream.output_endpoint),
+            on_datagram=self._on_upstream_datagram,
+        )
+        self._flows = FlowDirectory(
+            limit=FLOWS_LIMIT, idle_s=DEFAULT_IDLE_S, max_age_s=self.settings.flow_max_age_s
+        )
+        self._records: ExpiringMap[FlowKey, str] = ExpiringMap(
+            ttl_s=RECORD_TTL_S, limit=RECORDS_LIMIT
+        )
+        self._handed_over: ExpiringMap[FlowKey, str] = ExpiringMap(
+            ttl_s=HANDED_OVER_S, limit=FLOWS_LIMIT
+        )
+        self._entry_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
+            ttl_s=HANDED_OVER_S, limit=FLOWS_LIMIT
+        )
+        self._choice = UpstreamChoice(seed=hash64(self.settings.process.encode()))
+        self._deliveries: dict[int, _Delivery] = {}
+        self._next_echo = 1
+        self._waiting_openings: dict[FlowKey, _Delivery] = {}
+        self._reporter_by_address: dict[str, _Reporter] = {}
+        self._recorded_by_flow: dict[FlowKey, float] = {}
+        self._is_upstream_silent = False
+        self._is_upstream_down = False
+        self._probed_at = 0.0
+        self._probe = UpstreamProbe(
+            loop=self.loop, endpoint=self._upstream_endpoint, on_outcome=self._on_probed
+        )
+        self._stopping_at = 0.0
+
+    def start(self) -> None:
+        """Open all sockets. Raises OSError."""
+        super().start()
+        self._outputs.start()
+        self.loop.call_every(UPKEEP_S, self._upkeep)
+        self.loop.call_every(REPORT_INTERVAL_S, self._send_load)
+        self.loop.call_every(EXPIRY_S, self._expire)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._probe.close()
+        self._outputs.close()
+        super().close()
+
+    def stop(self) -> None:
+        """Take no new flow and end soon; the flows of an upstream that has ended are reset."""
+        if self.is_stopping:
+            return
+        self.is_stopping = True
+        self._stopping_at = self.loop.now()
+        self.log.write(
+            Event.PROCESS_STOPPING, flows=self._flows.open_flows, busy=self._flows.busy
+        )
+        self._send_load()
+        self._probe.start()
+
+    def on_view_change(self, update: CatalogUpdate) -> None:
+        """Follow the idle time-out and the agents that keep records."""
+        if self.directory.idle_timeout_s is not None:
+            self._flows.idle_s = self.directory.idle_timeout_s
+        if update.entries or update.removals:
+            listed = {entry.address for entry in self.view.catalog.entry_by_name.values()}
+            self._choice.keep_only(listed)
+
+    @property
+    def _can_take(self) -> bool:
+        entry = self.directory.entry(self.settings.address)
+        return not (
+            self.is_stopping
+            or self._is_upstream_down
+            or self._is_upstream_silent
+            or entry is None
+            or entry.is_draining
+            or service_tag(entry.service) != self._own_tag
+        )
+
+    @property
+    def _slots(self) -> int:
+        entry = self.directory.entry(self.settings.address)
+        return 1 if entry is None else entry.slots
+
+    # Packets from balancers and agents.
+
+    def on_peer_datagram(self, datagram: bytes, sender: Endpoint) -> None:
+        """Handle packets, load reports and records of flows."""
+        kind = datagram[0] if datagram else 0
+        now = self.loop.now()
+        try:
+            if kind == DatagramKind.PACKET:
+                self._on_envelope(decode_envelope(datagram), sender, now)
+            elif kind == DatagramKind.LOAD:
+                self._choice.report(sender[0], decode_load(datagram), now)
+            elif kind == DatagramKind.RECORDS:
+                located = decode_flows(datagram)
+                for flow in located.flows:
+                    self._records.put(flow, located.agent_address, now)
+            else:
+                raise MalformedPeerDatagramError(reason=f"kind {kind}", size=len(datagram))
+        except MalformedPeerDatagramError as error:
+            self.drop("peer_malformed", peer=sender[0], reason=error.reason)
+        except MalformedPacketError as error:
+            self.drop(error.reason, peer=sender[0], size=error.size)
+
+    def _on_envelope(self, envelope: Envelope, sender: Endpoint, now: float) -> None:
+        packet = self.packet_codec.decode_from_client(envelope.raw)
+        reporter = self._reporter_by_address.get(sender[0])
+        if reporter is None:
+            self._reporter_by_address[sender[0]] = _Reporter(heard_at=now)
+        else:
+            reporter.heard_at = now
+        if packet.is_opening:
+            self._on_opening(packet, envelope, now)
+        else:
+            self._on_flow_packet(packet, envelope, now)
+
+    def _on_opening(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
+        taken_over_by = self._handed_over.get(packet.flow, now)
+        if taken_over_by is not None and envelope.hops == 0:
+            self._pass_on(envelope, taken_over_by, SearchStage.DIRECT)
+            return
+        if self._flows.get(packet.flow) is None:
+            reason = self._reason_to_hand_over(envelope)
+            if reason is not None and self._hand_over(packet, envelope, reason, now):
+                return
+            if reason not in (None, "busy"):
+                self._refuse(packet, reason or "", now)
+                return
+        self._flows.expect(packet.flow, now)
+        if envelope.hops:
+            self._locate(packet.flow, envelope.entry_address)
+        delivery = self._deliver(packet, envelope, now)
+        self._waiting_openings.setdefault(packet.flow, delivery)
+
+    def _reason_to_hand_over(self, envelope: Envelope) -> str | None:
+        if envelope.service_tag != self._own_tag:
+            return "other_service"
+        if not self._can_take:
+            return "unavailable"
+        if self._flows.busy >= self._slots and envelope.hops < MAX_HANDOVERS:
+            return "busy"
+        return None
+
+    def _hand_over(
+        self, packet: FlowPacket, envelope: Envelope, reason: str, now: float
+    ) -> bool:
+        if envelope.hops >= MAX_HANDOVERS:
+            return False
+        others = self.directory.candidates(envelope.service_tag, now)
+        agent = self._choice.choose(
+            others, is_long=False, now=now, excluded=(self.settings.address,)
+        )
+        if agent is None:
+            return False
+        self._handed_over.put(packet.flow, agent, now)
+        self.metrics.count("flows_handed_over_total", reason)
+        self.log.write(
+            Event.FLOW_HANDED_OVER,
+            outcome=reason,
+            flow=flow_text(packet.flow),
+            agent=agent,
+            hops=envelope.hops,
+            busy=self._flows.busy,
+            slots=self._slots,
+            revision=self.view.catalog.revision,
+        )
+        self._pass_on(envelope, agent, SearchStage.DIRECT)
+        return True
+
+    def _on_flow_packet(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
+        if self._flows.client_packet(packet, now):
+            if envelope.stage is not SearchStage.DIRECT or envelope.hops:
+                self._locate(packet.flow, envelope.entry_address)
+            self._deliver(packet, envelope, now)
+            return
+        if envelope.hops >= MAX_HOPS:
+            self.drop("hops", flow=flow_text(packet.flow))
+            return
+        if envelope.stage is not SearchStage.RANKED_NO_RECORDS:
+            agent = self._handed_over.get(packet.flow, now)
+            if envelope.stage is not SearchStage.RECORDED:
+                agent = agent or self._records.get(packet.flow, now)
+            if agent is not None and agent != self.settings.address:
+                self._pass_on(envelope, agent, SearchStage.RECORDED)
+                return
+        if self._is_upstream_down:
+            self._search_on(packet, envelope, now)
+            return
+        # The upstream may hold a flow that this process, started later, has not seen.
+        self._entry_by_flow.put(packet.flow, envelope.entry_address, now)
+        self._deliver(packet, envelope, now)
+
+    def _search_on(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
+        """Pass a packet on whose flow is not here."""
+        ranking = self.directory.ranking(envelope.service_tag)
+        own = self.settings.address
+        stage = envelope.stage
+        if stage in (SearchStage.DIRECT, SearchStage.RECORDED):
+            is_direct = stage is SearchStage.DIRECT
+            stage = SearchStage.RANKED if is_direct else SearchStage.RANKED_NO_RECORDS
+            agent = ranking.first(packet.flow)
+            if agent == own:
+                agent = ranking.next_after(packet.flow, own)
+        else:
+            agent = ranking.next_after(packet.flow, own)
+        if agent is not None:
+            self.metrics.count("search_hops_total")
+            self._pass_on(envelope, agent, stage)
+            return
+        self._end_search(packet, envelope, now)
+
+    def _end_search(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
+        """No agent holds the flow: tell the client, if this process can be sure of that."""
+        age_s = self.view.catalog.confirmed_age_s(now)
+        is_settled = now - self.directory.agents_changed_at > SETTLED_S
+        if packet.is_reset or packet.is_final:
+            self.drop("flow_over", flow=flow_text(packet.flow), hops=envelope.hops)
+        elif age_s is None or age_s > FRESH_VIEW_S or not is_settled:
+            self.drop("not_found_yet", flow=flow_text(packet.flow), hops=envelope.hops)
+        else:
+            self._reset(packet.flow, packet.acknowledged, "not_found")
+
+    def _pass_on(self, envelope: Envelope, agent: str, stage: SearchStage) -> None:
+        passed = replace(envelope, hops=min(envelope.hops + 1, 255), stage=stage)
+        self.peers.send(encode_envelope(passed), (agent, self.settings.peer_port))
+
+    def _locate(self, flow: FlowKey, entry_address: str) -> None:
+        """Tell the balancer that took a packet where its flow is."""
+        located = FlowsLocated(agent_address=self.settings.address, flows=(flow,))
+        self.metrics.count("flows_located_total")
+        self.log.write(Event.FLOW_LOCATED, flow=flow_text(flow), balancer=entry_address)
+        self.peers.send(
+            encode_flows(DatagramKind.LOCATED, located), (entry_address, self.settings.peer_port)
+        )
+
+    # Packets to and from the upstream.
+
+    def _deliver(self, packet: FlowPacket, envelope: Envelope, now: float) -> _Delivery:
+        echo = self._next_echo
+        self._next_echo = echo % DELIVERIES_LIMIT + 1
+        delivery = _Delivery(envelope=envelope, delivered_at=now)
+        self._deliveries[echo] = delivery
+        self._outputs.send(
+            self.packet_codec.with_echo(packet.raw, echo), self._upstream_endpoint
+        )
+        return delivery
+
+    def _on_upstream_datagram(self, datagram: bytes, _sender: Endpoint) -> None:
+        now = self.loop.now()
+        try:
+            packet = self.packet_codec.decode_from_upstream(datagram)
+        except MalformedPacketError as error:
+            self.drop(error.reason, sender="upstream", size=error.size)
+            return
+        if self._is_upstream_silent or self._is_upstream_down:
+            self._is_upstream_silent = self._is_upstream_down = False
+            self.log.write(Event.UPSTREAM_STARTED, upstream=self._upstream_endpoint[0])
+        self._waiting_openings.pop(packet.flow, None)
+        if packet.is_bounced:
+            self._on_bounced(packet, now)
+            return
+        if self._flows.upstream_packet(packet, now):
+            entry_address = self._entry_by_flow.get(packet.flow, now)
+            if entry_address is not None:
+                self._locate(packet.flow, entry_address)
+        self._outputs.send(datagram, self.client_endpoint(packet.flow))
+
+    def _on_bounced(self, packet: FlowPacket, now: float) -> None:
+        delivery = self._deliveries.get(packet.echo)
+        record = self._flows.get(packet.flow)
+        was_open = record is not None and record.state is FlowState.OPEN
+        self._flows.forget(packet.flow)
+        if delivery is None:
+            self.drop("unknown_echo", flow=flow_text(packet.flow))
+            return
+        raw = self.packet_codec.with_echo(packet.raw, 0)
+        envelope = replace(delivery.envelope, raw=raw)
+        packet = self.packet_codec.decode_from_client(raw)
+        if packet.is_opening:
+            if not self._hand_over(packet, envelope, "refused_by_upstream", now):
+                self._refuse(packet, "refused_by_upstream", now)
+        elif was_open:
+            # The flow was open here and its upstream has lost it: no other one can have it.
+            if not packet.is_reset:
+                self._reset(packet.flow, packet.acknowledged, "lost_by_upstream")
+        else:
+            self._search_on(packet, envelope, now)
+
+    def _refuse(self, packet: FlowPacket, reason: str, _now: float) -> None:
+        """Answer an opening packet that no agent takes; nothing has run."""
+        self._reset(packet.flow, packet.acknowledged, reason)
+
+    def _reset(self, flow: FlowKey, acknowledged: int, reason: str) -> None:
+        reset = self.reset_flow(flow, acknowledged=acknowledged, reason=reason)
+        self._outputs.send(reset, self.client_endpoint(flow))
+
+    # Upkeep.
+
+    def _upkeep(self) -> None:
+        now = self.loop.now()
+        for flow, delivery in list(self._waiting_openings.items()):
+            if now - delivery.delivered_at > UNANSWERED_OPENING_S:
+                del self._waiting_openings[flow]
+                self._on_unanswered(delivery, now)
+        if self._is_upstream_down or self._is_upstream_silent:
+            if now - self._probed_at > PROBE_AGAIN_S:
+                self._probed_at = now
+                self._probe.start()
+        if self.is_stopping and not self._probe.is_running:
+            stopping_s = now - self._stopping_at
+            if self._flows.busy == 0 or stopping_s > STOP_WAIT_S or self._is_upstream_down:
+                self.finish()
+
+    def _on_unanswered(self, delivery: _Delivery, now: float) -> None:
+        if not self._is_upstream_silent:
+            self._is_upstream_silent = True
+            self._probed_at = now
+            self._probe.start()
+            self.log.write(Event.UPSTREAM_SILENT, upstream=self._upstream_endpoint[0])
+        packet = self.packet_codec.decode_from_client(delivery.envelope.raw)
+        self._hand_over(packet, delivery.envelope, "unanswered", now)
+
+    def _on_probed(self, outcome: ProbeOutcome) -> None:
+        self.metrics.count("upstream_probes_total", outcome.value)
+        if outcome is ProbeOutcome.LISTENING:
+            if self._is_upstream_down or self._is_upstream_silent:
+                self._is_upstream_down = self._is_upstream_silent = False
+                self.log.write(Event.UPSTREAM_STARTED, upstream=self._upstream_endpoint[0])
+            return
+        if outcome is ProbeOutcome.REFUSED and not self._is_upstream_down:
+            self._is_upstream_down = True
+            self.log.write(
+                Event.UPSTREAM_DOWN,
+                upstream=self._upstream_endpoint[0],
+                flows=self._flows.open_flows,
+            )
+            for flow in self._flows.flows_open():
+                record = self._flows.get(flow)
+                if record is not None:
+                    self._reset(flow, record.client_acknowledged, "upstream_down")
+                self._flows.forget(flow)
+
+    def _expire(self) -> None:
+        now = self.loop.now()
+        self._flows.expire(now)
+        self._records.expire(now)
+        self._handed_over.expire(now)
+        self._entry_by_flow.expire(now)
+        for address, reporter in list(self._reporter_by_address.items()):
+            if now - reporter.heard_at > REPORTER_S:
+                del self._reporter_by_address[address]
+        self._send_records(now)
+        self.metrics.gauge("flows_open", self._flows.open_flows)
+        self.metrics.gauge("requests_busy", self._flows.busy)
+        for seconds in self._flows.answer_seconds:
+            self.metrics.observe("upstream_answer_seconds", seconds)
+        self._flows.answer_seconds.clear()
+
+    def _send_records(self, now: float) -> None:
+        """Tell the keepers of open flows where these are, and again before records expire."""
+        ranking = self.directory.ranking(self._own_tag)
+        if self.directory.agents_changed_at > now - 2 * EXPIRY_S:
+            self._recorded_by_flow.clear()
+        flows_by_keeper: dict[str, list[FlowKey]] = {}
+        open_flows = set(self._flows.flows_open())
+        for flow in [flow for flow in self._recorded_by_flow if flow not in open_flows]:
+            del self._recorded_by_flow[flow]
+        for flow in open_flows:
+            record = self._flows.get(flow)
+            recorded_at = self._recorded_by_flow.get(flow)
+            if record is None or now - record.opened_at < RECORD_AGE_S:
+                continue
+            if recorded_at is not None and now - recorded_at < RECORD_REFRESH_S:
+                continue
+            self._recorded_by_flow[flow] = now
+            for keeper in ranking.keepers(flow, KEEPERS):
+                if keeper != self.settings.address:
+                    flows_by_keeper.setdefault(keeper, []).append(flow)
+        for keeper, flows in flows_by_keeper.items():
+            for start in range(0, len(flows), FLOWS_PER_DATAGRAM):
+                located = FlowsLocated(
+                    agent_address=self.settings.address,
+                    flows=tuple(flows[start : start + FLOWS_PER_DATAGRAM]),
+                )
+                self.peers.send(
+                    encode_flows(DatagramKind.RECORDS, located),
+                    (keeper, self.settings.peer_port),
+                )
+
+    def _send_load(self) -> None:
+        now = self.loop.now()
+        report = LoadReport(
+            busy=self._flows.busy,
+            open_flows=self._flows.open_flows,
+            slots=self._slots,
+            is_available=self._can_take,
+        )
+        datagram = encode_load(report)
+        for address, reporter in self._reporter_by_address.items():
+            has_news = reporter.reported != report
+            is_due = (
+                reporter.heard_at > reporter.reported_at
+                and now - reporter.reported_at > REPORT_AT_LEAST_S
+            )
+            if has_news or is_due:
+                reporter.reported = report
+                reporter.reported_at = now
+                self.peers.send(datagram, (address, self.settings.peer_port))
--- /dev/null
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -0,0 +1,225 @@
+"""The process on an entry VM that forwards packets of flows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from laburnumbridge.catalog import RouteIndex
+from laburnumbridge.core import Event
+from laburnumbridge.core import hash64
+from laburnumbridge.flows import ExpiringMap
+from laburnumbridge.flows import MalformedPacketError
+from laburnumbridge.flows import MalformedPeerDatagramError
+from laburnumbridge.flows import UpstreamChoice
+from laburnumbridge.flows.peer_datagrams import DatagramKind
+from laburnumbridge.flows.peer_datagrams import Envelope
+from laburnumbridge.flows.peer_datagrams import SearchStage
+from laburnumbridge.flows.peer_datagrams import decode_flows
+from laburnumbridge.flows.peer_datagrams import decode_load
+from laburnumbridge.flows.peer_datagrams import encode_envelope
+from laburnumbridge.forwarding.endpoints import parse_endpoint
+from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
+from laburnumbridge.forwarding.forwarding_process import flow_text
+from laburnumbridge.forwarding.service_directory import service_tag
+from laburnumbridge.forwarding.udp_port import UdpPort
+
+if TYPE_CHECKING:
+    from laburnumbridge.catalog import CatalogUpdate
+    from laburnumbridge.catalog import Route
+    from laburnumbridge.flows import FlowKey
+    from laburnumbridge.flows import FlowPacket
+    from laburnumbridge.forwarding.endpoints import Endpoint
+
+FLOWS_LIMIT = 100_000
+"""4.8 million flows on 780 balancers are 6,200 each; after a loss of most of them, 16 times that."""
+FLOW_MEMORY_S = 30.0
+"""Above the idle time-out of flows; an older flow is found by a search."""
+AVOID_S = 1.0
+"""How long an agent that left an opening packet unanswered gets no new flow."""
+QUIET_S = 0.6
+"""The fabric asks for readiness twice a second, so a balancer out of rotation is quiet by then."""
+MIN_STOP_S = 1.2
+"""Two readiness checks must fail before the fabric leaves a balancer out."""
+STOP_MARGIN_S = 1.0
+"""A stop ends this long before the platform kills the process."""
+UPKEEP_S = 0.25
+AGENT_SILENCE_S = 0.5
+"""An agent answers packets with a load report within 0.2 s."""
+
+
+class FlowBalancer(ForwardingProcess):
+    """Sends opening packets to agents by load, and other packets to the agent of their flow.
+
+    It remembers where flows are, but nothing depends on that: the packet of a flow that it
+    doesn't know goes to the agent that keeps the flow's record.
+    """
+
+    def __init__(self, **arguments: Any) -> None:
+        super().__init__(**arguments)
+        self._packets = UdpPort(
+            loop=self.loop,
+            endpoint=parse_endpoint(self.settings.packet_endpoint),
+            on_datagram=self._on_client_datagram,
+        )
+        self._choice = UpstreamChoice(seed=hash64(self.settings.process.encode()))
+        self._agent_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
+            ttl_s=FLOW_MEMORY_S, limit=FLOWS_LIMIT
+        )
+        self._unanswered_since_by_agent: dict[str, float] = {}
+        self._last_packet_at = self.loop.now()
+        self._stopping_at = 0.0
+
+    def start(self) -> None:
+        """Open all sockets. Raises OSError."""
+        super().start()
+        self._packets.start()
+        self.loop.call_every(UPKEEP_S, self._upkeep)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._packets.close()
+        super().close()
+
+    def stop(self) -> None:
+        """Leave the rotation, and end when the fabric sends nothing more."""
+        if self.is_stopping:
+            return
+        self.is_stopping = True
+        self._stopping_at = self.loop.now()
+        self.log.write(Event.PROCESS_STOPPING, flows=len(self._agent_by_flow))
+
+    def on_view_change(self, update: CatalogUpdate) -> None:
+        """Forget the load of agents that left."""
+        listed = {entry.address for entry in self.view.catalog.entry_by_name.values()}
+        for agent in list(self._unanswered_since_by_agent):
+            if agent not in listed:
+                self._unanswered_since_by_agent.pop(agent)
+        self._choice.keep_only(listed)
+
+    def on_peer_datagram(self, datagram: bytes, sender: Endpoint) -> None:
+        """Take in load reports and the whereabouts of flows."""
+        kind = datagram[0] if datagram else 0
+        now = self.loop.now()
+        try:
+            if kind == DatagramKind.LOAD:
+                self._choice.report(sender[0], decode_load(datagram), now)
+            elif kind == DatagramKind.LOCATED:
+                located = decode_flows(datagram)
+                for flow in located.flows:
+                    self._agent_by_flow.put(flow, located.agent_address, now)
+            else:
+                raise MalformedPeerDatagramError(reason=f"kind {kind}", size=len(datagram))
+        except MalformedPeerDatagramError as error:
+            self.drop("peer_malformed", peer=sender[0], reason=error.reason)
+            return
+        self._unanswered_since_by_agent.pop(sender[0], None)
+
+    def _on_client_datagram(self, datagram: bytes, sender: Endpoint) -> None:
+        now = self.loop.now()
+        self._last_packet_at = now
+        try:
+            packet = self.packet_codec.decode_from_client(datagram)
+        except MalformedPacketError as error:
+            self.drop(error.reason, sender=sender[0], size=error.size)
+            return
+        if not self.directory.has_routes:
+            self.drop("no_view", flow=flow_text(packet.flow))
+            return
+        route = self.directory.route(packet.flow)
+        if route is None:
+            self._reset(packet, "no_route")
+        elif packet.is_opening:
+            self._open(packet, route, now)
+        else:
+            self._forward(packet, route, now)
+
+    def _open(self, packet: FlowPacket, route: Route, now: float) -> None:
+        tag = self._tag(route, packet.flow)
+        known = self._agent_by_flow.get(packet.flow, now)
+        excluded: tuple[str, ...] = ()
+        if known is not None:
+            # A copy of an opening packet: the first agent has not answered within 0.2 s.
+            self._choice.avoid(known, now + AVOID_S)
+            excluded = (known,)
+        candidates = self.directory.candidates(tag, now)
+        agent = self._choice.choose(
+            candidates,
+            is_long=route.is_retryable and not route.is_download,
+            now=now,
+            excluded=excluded,
+        )
+        agent = agent or known
+        if agent is None:
+            self._reset(packet, "no_upstream")
+            return
+        self._agent_by_flow.put(packet.flow, agent, now)
+        self.metrics.count("flows_placed_total")
+        self.log.write(
+            Event.FLOW_PLACED,
+            outcome="copy" if known else "first",
+            flow=flow_text(packet.flow),
+            route=route.name,
+            agent=agent,
+            candidates=len(candidates),
+            revision=self.view.catalog.revision,
+            view_age_s=self.view_age_s(),
+        )
+        self._send(packet, agent, tag, SearchStage.DIRECT, now)
+
+    def _forward(self, packet: FlowPacket, route: Route, now: float) -> None:
+        tag = self._tag(route, packet.flow)
+        agent = self._agent_by_flow.touch(packet.flow, now)
+        if agent is not None:
+            self._send(packet, agent, tag, SearchStage.DIRECT, now)
+            return
+        agent = self.directory.ranking(tag).first(packet.flow)
+        if agent is None:
+            self.drop("no_agent", flow=flow_text(packet.flow), route=route.name)
+            return
+        self.metrics.count("flows_searched_total")
+        self.log.write(
+            Event.FLOW_SEARCHED, outcome="unknown", flow=flow_text(packet.flow), agent=agent
+        )
+        self._send(packet, agent, tag, SearchStage.RANKED, now)
+
+    def _tag(self, route: Route, flow: FlowKey) -> int:
+        return service_tag(RouteIndex.service(route, flow))
+
+    def _send(
+        self, packet: FlowPacket, agent: str, tag: int, stage: SearchStage, now: float
+    ) -> None:
+        self.metrics.count("packets_forwarded_total")
+        self._unanswered_since_by_agent.setdefault(agent, now)
+        envelope = Envelope(
+            stage=stage,
+            hops=0,
+            service_tag=tag,
+            entry_address=self.settings.address,
+            raw=packet.raw,
+        )
+        self.peers.send(encode_envelope(envelope), (agent, self.settings.peer_port))
+
+    def _reset(self, packet: FlowPacket, reason: str) -> None:
+        if packet.is_reset:
+            return
+        reset = self.reset_flow(packet.flow, acknowledged=packet.acknowledged, reason=reason)
+        self._packets.send(reset, self.client_endpoint(packet.flow))
+
+    def _upkeep(self) -> None:
+        now = self.loop.now()
+        self._agent_by_flow.expire(now)
+        self.metrics.gauge("flows_known", len(self._agent_by_flow))
+        for agent, since in self._unanswered_since_by_agent.items():
+            if now - since > AGENT_SILENCE_S:
+                self._choice.avoid(agent, now + 2 * UPKEEP_S)
+        if self.is_stopping:
+            self._finish_when_quiet(now)
+
+    def _finish_when_quiet(self, now: float) -> None:
+        stopping_s = now - self._stopping_at
+        is_quiet = now - self._last_packet_at > QUIET_S
+        if stopping_s > self.settings.stop_grace_s - STOP_MARGIN_S or (
+            stopping_s > MIN_STOP_S and is_quiet
+        ):
+            self.finish()
--- /dev/null
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -0,0 +1,192 @@
+"""What balancers and agents have in common."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from abc import ABC
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import Event
+from laburnumbridge.forwarding.decision_log import DecisionLog
+from laburnumbridge.forwarding.endpoints import parse_endpoint
+from laburnumbridge.forwarding.errors import InvalidSettingsError
+from laburnumbridge.forwarding.event_loop import EventLoop
+from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
+from laburnumbridge.forwarding.http_server import HttpServer
+from laburnumbridge.forwarding.metrics import Metrics
+from laburnumbridge.forwarding.service_directory import ServiceDirectory
+from laburnumbridge.forwarding.udp_port import UdpPort
+from laburnumbridge.forwarding.view_sharing import ViewSharing
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from laburnumbridge.catalog import CatalogUpdate
+    from laburnumbridge.catalog import PlatformCodec
+    from laburnumbridge.flows import FlowKey
+    from laburnumbridge.flows import PacketCodec
+    from laburnumbridge.forwarding.endpoints import Endpoint
+    from laburnumbridge.forwarding.forwarding_settings import ForwardingSettings
+
+SETTINGS_CHECK_S = 0.5
+"""Settings may change without a signal; reading the file's status is cheap."""
+
+
+def flow_text(flow: FlowKey) -> str:
+    """Return the id of a flow in logs: client address and port, service address and port."""
+    client = f"{socket.inet_ntoa(flow[0:4])}:{int.from_bytes(flow[4:6], 'big')}"
+    service = f"{socket.inet_ntoa(flow[6:10])}:{int.from_bytes(flow[10:12], 'big')}"
+    return f"{client}>{service}"
+
+
+class ForwardingProcess(ABC):
+    """Sockets, view, readiness, settings and signals of one process.
+
+    Build it with settings that were loaded from ``settings_path``, call ``start`` and then
+    ``run``, which returns after a stop signal.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: ForwardingSettings,
+        settings_path: Path,
+        packet_codec: PacketCodec,
+        platform_codec: PlatformCodec,
+        loop: EventLoop | None = None,
+        log: DecisionLog | None = None,
+    ) -> None:
+        self.loop = loop or EventLoop()
+        self.settings = settings
+        self._settings_path = settings_path
+        self._settings_text = b""
+        self.packet_codec = packet_codec
+        self.log = log or DecisionLog(process=settings.process)
+        self.metrics = Metrics()
+        self.is_stopping = False
+        self.view = ViewSharing(
+            loop=self.loop,
+            settings=settings,
+            codec=platform_codec,
+            log=self.log,
+            metrics=self.metrics,
+            on_change=self._on_view_change,
+        )
+        self.directory = ServiceDirectory(catalog=self.view.catalog)
+        self.peers = UdpPort(
+            loop=self.loop,
+            endpoint=(settings.address, settings.peer_port),
+            on_datagram=self.on_peer_datagram,
+        )
+        self._ready_server = HttpServer(
+            loop=self.loop,
+            endpoint=parse_endpoint(settings.ready_endpoint),
+            handler=self._readiness,
+        )
+        self._metrics_server = HttpServer(
+            loop=self.loop,
+            endpoint=(settings.address, settings.metrics_port),
+            handler=self._serve_metrics,
+        )
+
+    def start(self) -> None:
+        """Open all sockets and begin to follow the platform. Raises OSError."""
+        self.log.start()
+        self._settings_text = self._settings_path.read_bytes()
+        self.loop.on_signal(signal.SIGTERM, self.stop)
+        self.loop.on_signal(signal.SIGINT, self.stop)
+        self.loop.on_signal(signal.SIGHUP, self._reload)
+        self.loop.call_every(SETTINGS_CHECK_S, self._reload)
+        self.peers.start()
+        self._ready_server.start()
+        self._metrics_server.start()
+        self.view.start()
+        self.log.write(Event.PROCESS_STARTED, address=self.settings.address)
+
+    def run(self) -> None:
+        """Serve until the process has stopped."""
+        self.loop.run()
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self.view.close()
+        self._ready_server.close()
+        self._metrics_server.close()
+        self.peers.close()
+        self.loop.close()
+        self.log.write(Event.PROCESS_STOPPED)
+
+    def finish(self) -> None:
+        """End ``run``."""
+        self.loop.stop()
+
+    @abstractmethod
+    def stop(self) -> None:
+        """Begin a planned stop."""
+
+    @abstractmethod
+    def on_peer_datagram(self, datagram: bytes, sender: Endpoint) -> None:
+        """Handle a datagram from another process."""
+
+    @abstractmethod
+    def on_view_change(self, update: CatalogUpdate) -> None:
+        """Act on news that the directory already holds."""
+
+    def reset_flow(self, flow: FlowKey, *, acknowledged: int, reason: str) -> bytes:
+        """Log a reset of a flow and return its packet."""
+        self.metrics.count("flow_resets_total", reason)
+        self.log.write(
+            Event.FLOW_RESET,
+            outcome=reason,
+            flow=flow_text(flow),
+            revision=self.view.catalog.revision,
+            view_age_s=self.view_age_s(),
+        )
+        return self.packet_codec.reset(flow, sequence=acknowledged)
+
+    def client_endpoint(self, flow: FlowKey) -> Endpoint:
+        """Return where packets of a flow go to reach its client."""
+        return socket.inet_ntoa(flow[0:4]), self.settings.packet_port
+
+    def drop(self, reason: str, **fields: object) -> None:
+        """Count and log a packet that goes no further."""
+        self.metrics.count("packets_dropped_total", reason)
+        self.log.write(Event.PACKET_DROPPED, outcome=reason, **fields)
+
+    def view_age_s(self) -> float | None:
+        """Return the age of the view for log lines."""
+        age_s = self.view.catalog.confirmed_age_s(self.loop.now())
+        return None if age_s is None else round(age_s, 3)
+
+    def _on_view_change(self, update: CatalogUpdate) -> None:
+        self.directory.apply(update, self.loop.now())
+        self.on_view_change(update)
+
+    def _readiness(self, _path: str) -> tuple[int, bytes]:
+        if self.is_stopping:
+            return 503, b"stopping\n"
+        if not self.view.catalog.is_ready:
+            return 503, b"no view of the fleet yet\n"
+        return 200, b"ready\n"
+
+    def _serve_metrics(self, _path: str) -> tuple[int, bytes]:
+        return 200, self.metrics.render()
+
+    def _reload(self) -> None:
+        try:
+            text = self._settings_path.read_bytes()
+        except OSError:
+            return  # being replaced; the next check is due in half a second
+        if text == self._settings_text:
+            return
+        self._settings_text = text
+        try:
+            settings = load_forwarding_settings(self._settings_path)
+        except InvalidSettingsError as error:
+            self.log.write(Event.SETTINGS_RELOADED, outcome="rejected", reason=str(error))
+            return
+        self.settings = settings
+        self.view.reload(settings)
+        self.log.write(Event.SETTINGS_RELOADED, outcome="in force", seeds=settings.seeds)
--- /dev/null
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_settings.py
@@ -0,0 +1,90 @@
+"""Settings of a process that forwards flows."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from laburnumbridge.forwarding.endpoints import Endpoint
+from laburnumbridge.forwarding.endpoints import parse_endpoint
+from laburnumbridge.forwarding.errors import InvalidSettingsError
+
+
+class UpstreamSettings(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+    """The upstream beside an agent.
+
+    Packets go to ``endpoint``; the upstream sends its own to ``output_endpoint``, on the agent.
+    """
+
+    service: str
+    endpoint: str
+    output_endpoint: str
+
+
+class ForwardingSettings(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+    """Checked settings; endpoints are ``"address:port"``.
+
+    ``peer_port`` is the UDP port for other processes, the same on every VM. ``control_endpoint``
+    is where peers fetch the view of the fleet; without it the process only fetches. ``upstream``
+    is set for agents.
+    """
+
+    process: str
+    failure_domain: str
+    address: str
+    packet_endpoint: str
+    peer_port: int
+    ready_endpoint: str
+    metrics_port: int
+    platform_endpoint: str
+    seeds: list[str]
+    flow_max_age_s: float
+    stop_grace_s: float
+    control_endpoint: str | None = None
+    upstream: UpstreamSettings | None = None
+
+    def __post_init__(self) -> None:
+        """Check the values that the types don't. Raises ValueError."""
+        for name in ("packet_endpoint", "ready_endpoint", "platform_endpoint"):
+            parse_endpoint(getattr(self, name))
+        for seed in self.seeds:
+            parse_endpoint(seed)
+        if self.control_endpoint is not None:
+            parse_endpoint(self.control_endpoint)
+        if self.upstream is not None:
+            parse_endpoint(self.upstream.endpoint)
+            parse_endpoint(self.upstream.output_endpoint)
+        for name in ("peer_port", "metrics_port"):
+            if not 0 < getattr(self, name) < 65_536:
+                raise ValueError(f"{name} must be a port")
+        for name in ("flow_max_age_s", "stop_grace_s"):
+            if getattr(self, name) <= 0:
+                raise ValueError(f"{name} must be above 0")
+
+    @property
+    def packet_port(self) -> int:
+        """The port that packets arrive at, on every VM and at clients."""
+        return parse_endpoint(self.packet_endpoint)[1]
+
+    @property
+    def platform(self) -> Endpoint:
+        """The platform's address and port."""
+        return parse_endpoint(self.platform_endpoint)
+
+
+def load_forwarding_settings(path: Path) -> ForwardingSettings:
+    """Read settings in JSON. Raises InvalidSettingsError."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=ForwardingSettings)
+    except OSError as error:
+        raise InvalidSettingsError(
+            path=str(path), field="file", reason=error.strerror or str(error)
+        ) from error
+    except msgspec.ValidationError as error:
+        reason, _, field = str(error).partition(" - at ")
+        raise InvalidSettingsError(
+            path=str(path), field=field.strip("`").removeprefix("$.") or "settings", reason=reason
+        ) from error
+    except msgspec.DecodeError as error:
+        raise InvalidSettingsError(path=str(path), field="JSON", reason=str(error)) from error
--- /dev/null
+++ b/libs/forwarding/src/laburnumbridge/forwarding/http_client.py
@@ -0,0 +1,145 @@
+"""One HTTP/1.1 connection to the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import h11
+
+from laburnumbridge.core import UnavailableError
+from laburnumbridge.forwarding.stream import Stream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from laburnumbridge.forwarding.endpoints import Endpoint
+    from laburnumbridge.forwarding.event_loop import EventLoop
+    from laburnumbridge.forwarding.event_loop import Timer
+
+
+class HttpCallFailedError(UnavailableError):
+    """A call got no answer."""
+
+    def __init__(self, *, reason: str) -> None:
+        super().__init__(f"a call got no answer: {reason}")
+        self.reason = reason
+
+
+class HttpClient:
+    """Makes one GET call at a time; the connection is kept between calls.
+
+    A call ends with exactly one of ``on_answer(status, body)`` and ``on_failure(error)``. After a
+    failure the connection is closed, since the lost answer may still come on it.
+    """
+
+    def __init__(self, *, loop: EventLoop, endpoint: Endpoint) -> None:
+        self._loop = loop
+        self._endpoint = endpoint
+        self._stream: Stream | None = None
+        self._protocol = h11.Connection(h11.CLIENT)
+        self._timer: Timer | None = None
+        self._on_answer: Callable[[int, bytes], None] | None = None
+        self._on_failure: Callable[[HttpCallFailedError], None] | None = None
+        self._status = 0
+        self._body: list[bytes] = []
+
+    @property
+    def is_calling(self) -> bool:
+        """True while a call has not ended."""
+        return self._on_answer is not None
+
+    def get(
+        self,
+        target: str,
+        *,
+        timeout_s: float,
+        on_answer: Callable[[int, bytes], None],
+        on_failure: Callable[[HttpCallFailedError], None],
+    ) -> None:
+        """Begin a call."""
+        self._on_answer = on_answer
+        self._on_failure = on_failure
+        self._timer = self._loop.call_later(timeout_s, lambda: self._fail("timeout"))
+        self._body = []
+        if self._stream is None and not self._connect():
+            return
+        request = h11.Request(
+            method="GET", target=target, headers=[("Host", f"{self._endpoint[0]}")]
+        )
+        data = (self._protocol.send(request) or b"") + (
+            self._protocol.send(h11.EndOfMessage()) or b""
+        )
+        assert self._stream is not None
+        self._stream.send(data)
+
+    def close(self) -> None:
+        """Close the connection; a call that is under way ends without a call back."""
+        self._on_answer = self._on_failure = None
+        self._disconnect()
+
+    def _connect(self) -> bool:
+        self._protocol = h11.Connection(h11.CLIENT)
+        try:
+            self._stream = Stream.connect(
+                loop=self._loop,
+                endpoint=self._endpoint,
+                on_data=self._on_data,
+                on_closed=self._on_closed,
+                on_connected=lambda: None,
+            )
+        except OSError as error:
+            reason = f"connect failed: {error.strerror}"
+            self._loop.call_later(0.0, lambda: self._fail(reason))
+            return False
+        return True
+
+    def _disconnect(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
+    def _on_closed(self, reason: str) -> None:
+        self._stream = None
+        self._fail(reason)
+
+    def _fail(self, reason: str) -> None:
+        on_failure, self._on_failure, self._on_answer = self._on_failure, None, None
+        self._disconnect()
+        if on_failure is not None:
+            on_failure(HttpCallFailedError(reason=reason))
+
+    def _on_data(self, data: bytes) -> None:
+        try:
+            self._protocol.receive_data(data)
+            while True:
+                event = self._protocol.next_event()
+                if event is h11.NEED_DATA:
+                    return
+                if isinstance(event, h11.Response):
+                    self._status = event.status_code
+                elif isinstance(event, h11.Data):
+                    self._body.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    break
+                elif isinstance(event, h11.ConnectionClosed):
+                    self._fail("closed by peer")
+                    return
+        except h11.ProtocolError as error:
+            self._fail(f"protocol error: {error}")
+            return
+        self._answered()
+
+    def _answered(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE:
+            self._protocol.start_next_cycle()
+        else:
+            self._disconnect()
+        on_answer, self._on_answer, self._on_failure = self._on_answer, None, None
+        if on_answer is not None:
+            on_answer(self._status, b"".join(self._body))
--- /dev/null
+++ b/libs/forwarding/src/laburnumbridge/forwarding/http_server.py
@@ -0,0 +1,111 @@
+"""Answers the platform's readiness checks and serves metrics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import h11
+
+from laburnumbridge.forwarding.stream import Listener
+from laburnumbridge.forwarding.stream import Stream
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable
+
+    from laburnumbridge.forwarding.endpoints import Endpoint
+    from laburnumbridge.forwarding.event_loop import EventLoop
+
+
+class HttpServer:
+    """Serves GET requests; ``handler`` maps a path to a status and a body."""
+
+    def __init__(
+        self,
+        *,
+        loop: EventLoop,
+        endpoint: Endpoint,
+        handler: Callable[[str], tuple[int, bytes]],
+    ) -> None:
+        self._loop = loop
+        self._handler = handler
+        self._listener = Listener(loop=loop, endpoint=endpoint, on_connection=self._accept)
+        self._connections: set[_HttpConnection] = set()
+
+    def start(self) -> None:
+        """Listen. Raises OSError."""
+        self._listener.start()
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        self._listener.close()
+        for connection in list(self._connections):
+            connection.close()
+        self._connections.clear()
+
+    def _accept(self, accepted: socket.socket, _endpoint: Endpoint) -> None:
+        self._connections.add(
+            _HttpConnection(
+                loop=self._loop,
+                accepted=accepted,
+                handler=self._handler,
+                on_closed=self._connections.discard,
+            )
+        )
+
+
+class _HttpConnection:
+    def __init__(
+        self,
+        *,
+        loop: EventLoop,
+        accepted: socket.socket,
+        handler: Callable[[str], tuple[int, bytes]],
+        on_closed: Callable[[_HttpConnection], None],
+    ) -> None:
+        self._handler = handler
+        self._on_closed = on_closed
+        self._protocol = h11.Connection(h11.SERVER)
+        self._stream = Stream(
+            loop=loop,
+            connection=accepted,
+            on_data=self._on_data,
+            on_closed=lambda _reason: on_closed(self),
+        )
+
+    def close(self) -> None:
+        self._stream.close()
+        self._on_closed(self)
+
+    def _on_data(self, data: bytes) -> None:
+        try:
+            self._protocol.receive_data(data)
+            self._answer_requests()
+        except h11.ProtocolError:
+            self.close()
+
+    def _answer_requests(self) -> None:
+        while True:
+            event = self._protocol.next_event()
+            if event is h11.NEED_DATA:
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                self.close()
+                return
+            if isinstance(event, h11.Request):
+                self._path = event.target.decode("ascii", "replace")
+            elif isinstance(event, h11.EndOfMessage):
+                self._answer()
+                if self._protocol.our_state is h11.MUST_CLOSE:
+                    self.close()
+                    return
+                self._protocol.start_next_cycle()
+
+    def _answer(self) -> None:
+        status, body = self._handler(self._path)
+        answer = h11.Response(
+            status_code=status,
+            headers=[("Content-Length", str(len(body))), ("Content-Type", "text/plain")],
+        )
+        parts = [answer, h11.Data(data=body), h11.EndOfMessage()]
+        self._stream.send(b"".join(self._protocol.send(part) or b"" for part in parts))
--- /dev/null
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -0,0 +1,292 @@
+"""Keeps the view of the fleet in date, from the platform and from peers."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from laburnumbridge.catalog import Catalog
+from laburnumbridge.catalog import MalformedUpdateError
+from laburnumbridge.catalog import UpdateStream
+from laburnumbridge.catalog import encode_update
+from laburnumbridge.catalog.reading_rule import ReadingRule
+from laburnumbridge.core import Event
+from laburnumbridge.core import rendezvous_rank
+from laburnumbridge.forwarding.endpoints import parse_endpoint
+from laburnumbridge.forwarding.store_reader import StoreReader
+from laburnumbridge.forwarding.stream import Listener
+from laburnumbridge.forwarding.stream import Stream
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable
+
+    from laburnumbridge.catalog import CatalogUpdate
+    from laburnumbridge.catalog import PlatformCodec
+    from laburnumbridge.forwarding.decision_log import DecisionLog
+    from laburnumbridge.forwarding.endpoints import Endpoint
+    from laburnumbridge.forwarding.event_loop import EventLoop
+    from laburnumbridge.forwarding.forwarding_settings import ForwardingSettings
+    from laburnumbridge.forwarding.metrics import Metrics
+
+HEARTBEAT_S = 1.0
+SILENCE_S = 2.5
+"""A peer that sent nothing for two heartbeats and a half is given up."""
+SOURCES = 2
+"""Seeds that a process gets its view from; with two, the loss of one delays nothing."""
+CONNECT_TIMEOUT_S = 1.0
+UPKEEP_S = 0.25
+
+
+class _PeerLink:
+    """A connection to a peer; both sides send what the other lacks."""
+
+    def __init__(self, *, endpoint: str, is_outgoing: bool, now: float) -> None:
+        self.endpoint = endpoint
+        self.is_outgoing = is_outgoing
+        self.is_connected = not is_outgoing
+        self.is_greeted = False
+        self.heard_at = now
+        self.snapshot_at = -HEARTBEAT_S
+        self.updates = UpdateStream()
+        self.stream: Stream | None = None
+
+
+class ViewSharing:
+    """Merges news into the catalog and passes it on.
+
+    Every process holds connections to two seeds. News travels over all connections, and a peer
+    whose revision is behind gets the whole view, so a seed that lost its memory is filled by
+    whoever connects first.
+    """
+
+    def __init__(
+        self,
+        *,
+        loop: EventLoop,
+        settings: ForwardingSettings,
+        codec: PlatformCodec,
+        log: DecisionLog,
+        metrics: Metrics,
+        on_change: Callable[[CatalogUpdate], None],
+    ) -> None:
+        self.catalog = Catalog()
+        self._loop = loop
+        self._settings = settings
+        self._log = log
+        self._metrics = metrics
+        self._on_change = on_change
+        self._links: set[_PeerLink] = set()
+        self._retry_at_by_seed: dict[str, float] = {}
+        self._rule = ReadingRule(process=settings.process, now=loop.now())
+        self._reader = StoreReader(
+            loop=loop,
+            catalog=self.catalog,
+            codec=codec,
+            endpoint=settings.platform,
+            reader=self._rule.reader_name(is_seed=self._is_seed),
+            log=log,
+            metrics=metrics,
+            on_update=lambda update: self._spread(update, None),
+        )
+        self._listener: Listener | None = None
+        if settings.control_endpoint is not None:
+            self._listener = Listener(
+                loop=loop,
+                endpoint=parse_endpoint(settings.control_endpoint),
+                on_connection=self._accept,
+            )
+
+    @property
+    def _is_seed(self) -> bool:
+        return self._settings.control_endpoint in self._settings.seeds
+
+    def start(self) -> None:
+        """Listen for peers, connect to seeds, and read where it falls to this process."""
+        if self._listener is not None:
+            self._listener.start()
+        self._upkeep()
+        self._loop.call_every(UPKEEP_S, self._upkeep)
+        self._loop.call_every(HEARTBEAT_S, self._send_heartbeats)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._reader.close()
+        if self._listener is not None:
+            self._listener.close()
+        for link in self._links:
+            if link.stream is not None:
+                link.stream.close()
+        self._links.clear()
+
+    def reload(self, settings: ForwardingSettings) -> None:
+        """Use the seeds of changed settings."""
+        self._settings = settings
+
+    def _upkeep(self) -> None:
+        now = self._loop.now()
+        for link in list(self._links):
+            limit_s = SILENCE_S if link.is_connected else CONNECT_TIMEOUT_S
+            if link.is_outgoing and now - link.heard_at > limit_s:
+                self._lose(link, "silent")
+        released = self.catalog.release_held(now)
+        if released.has_changes:
+            self._spread(released, None)
+        self._connect_sources(now)
+        should_read = self._rule.should_read(is_seed=self._is_seed, now=now)
+        if should_read != self._reader.is_running:
+            event = Event.READING_STARTED if should_read else Event.READING_STOPPED
+            self._log.write(
+                event,
+                is_seed=self._is_seed,
+                view_age_s=_rounded(self.catalog.confirmed_age_s(now)),
+                revision=self.catalog.revision,
+            )
+            if should_read:
+                self._reader.start()
+            else:
+                self._reader.stop()
+
+    def _connect_sources(self, now: float) -> None:
+        outgoing = {link.endpoint for link in self._links if link.is_outgoing}
+        others = [
+            seed for seed in self._settings.seeds if seed != self._settings.control_endpoint
+        ]
+        for seed in rendezvous_rank(self._settings.process.encode(), others):
+            if len(outgoing) >= SOURCES:
+                return
+            if seed in outgoing or self._retry_at_by_seed.get(seed, 0.0) > now:
+                continue
+            outgoing.add(seed)
+            self._connect(seed, now)
+
+    def _connect(self, seed: str, now: float) -> None:
+        link = _PeerLink(endpoint=seed, is_outgoing=True, now=now)
+        self._links.add(link)
+        self._retry_at_by_seed[seed] = now + CONNECT_TIMEOUT_S
+        try:
+            link.stream = Stream.connect(
+                loop=self._loop,
+                endpoint=parse_endpoint(seed),
+                on_data=lambda data: self._on_data(link, data),
+                on_closed=lambda reason: self._lose(link, reason),
+                on_connected=lambda: self._on_connected(link),
+            )
+        except OSError as error:
+            self._lose(link, f"connect failed: {error.strerror}")
+
+    def _on_connected(self, link: _PeerLink) -> None:
+        link.is_connected = True
+        link.heard_at = self._loop.now()
+        self._log.write(Event.PEER_CONNECTED, peer=link.endpoint, revision=self.catalog.revision)
+        # Without changes: it tells the peer which revision this process has.
+        self._send(link, self.catalog.heartbeat(self._loop.now()))
+
+    def _accept(self, connection: socket.socket, endpoint: Endpoint) -> None:
+        now = self._loop.now()
+        link = _PeerLink(endpoint=f"{endpoint[0]}:{endpoint[1]}", is_outgoing=False, now=now)
+        link.stream = Stream(
+            loop=self._loop,
+            connection=connection,
+            on_data=lambda data: self._on_data(link, data),
+            on_closed=lambda reason: self._lose(link, reason),
+        )
+        self._links.add(link)
+
+    def _lose(self, link: _PeerLink, reason: str) -> None:
+        if link not in self._links:
+            return
+        self._links.discard(link)
+        if link.stream is not None:
+            link.stream.close()
+        if link.is_connected:
+            self._log.write(Event.PEER_LOST, peer=link.endpoint, reason=reason)
+
+    def _on_data(self, link: _PeerLink, data: bytes) -> None:
+        link.heard_at = self._loop.now()
+        try:
+            updates = link.updates.feed(data)
+        except MalformedUpdateError as error:
+            self._lose(link, str(error))
+            return
+        for update in updates:
+            self._on_update(link, update)
+
+    def _on_update(self, link: _PeerLink, update: CatalogUpdate) -> None:
+        now = self._loop.now()
+        if update.confirmed_age_ms is not None:
+            self._rule.on_confirmed(update.confirmed_by, update.confirmed_age_ms / 1000, now)
+        if update.revision < self.catalog.revision and now - link.snapshot_at > HEARTBEAT_S:
+            link.snapshot_at = now
+            self._send(link, self.catalog.snapshot(now))
+        elif not link.is_greeted and not link.is_outgoing:
+            # The peer is ahead of this process: the heartbeat asks it for its view.
+            self._send(link, self.catalog.heartbeat(now))
+        link.is_greeted = True
+        self._spread(self.catalog.merge(update, now), link)
+
+    def _spread(self, update: CatalogUpdate, source: _PeerLink | None) -> None:
+        """Act on what was new and pass it on to all other peers."""
+        if not update.has_changes:
+            return
+        self._log_changes(update, "platform" if source is None else source.endpoint)
+        self._on_change(update)
+        now = self._loop.now()
+        heartbeat = self.catalog.heartbeat(now)
+        data = encode_update(
+            replace(
+                heartbeat,
+                entries=update.entries,
+                removals=update.removals,
+                configuration=update.configuration,
+            )
+        )
+        for link in self._links:
+            if link is not source and link.is_connected and link.stream is not None:
+                link.stream.send(data)
+
+    def _log_changes(self, update: CatalogUpdate, source: str) -> None:
+        if update.configuration is not None:
+            self._log.write(
+                Event.LIST_IN_FORCE,
+                version=update.configuration.version,
+                routes=len(update.configuration.routes),
+                source=source,
+            )
+        for entry in update.entries:
+            self._log.write(
+                Event.UPSTREAM_CHANGED,
+                outcome="draining" if entry.is_draining else "ready",
+                upstream=entry.name,
+                service=entry.service,
+                agent=entry.address,
+                revision=entry.revision,
+                source=source,
+            )
+        for removal in update.removals:
+            self._log.write(
+                Event.UPSTREAM_CHANGED,
+                outcome="removed",
+                upstream=removal.name,
+                revision=removal.revision,
+                source=source,
+            )
+
+    def _send_heartbeats(self) -> None:
+        now = self._loop.now()
+        data = encode_update(self.catalog.heartbeat(now))
+        for link in list(self._links):
+            if not link.is_outgoing and link.stream is not None:
+                link.stream.send(data)
+        age_s = self.catalog.confirmed_age_s(now)
+        if age_s is not None:
+            self._metrics.gauge("view_age_seconds", age_s)
+
+    @staticmethod
+    def _send(link: _PeerLink, update: CatalogUpdate) -> None:
+        if link.stream is not None:
+            link.stream.send(encode_update(update))
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
--- a/libs/telemetry/src/laburnumbridge/telemetry/__init__.py
+++ b/libs/telemetry/src/laburnumbridge/telemetry/__init__.py
@@ -15,7 +15,7 @@
 from laburnumbridge.telemetry.errors import MalformedHistogramError
 from laburnumbridge.telemetry.errors import MetricsAddressInUseError
 from laburnumbridge.telemetry.errors import SnapshotRejectedError
-from laburnumbridge.telemetry.event import Event
+from laburnumbridge.core.event import Event
 from laburnumbridge.telemetry.event_catalogue import render_event_catalogue
 from laburnumbridge.telemetry.event_log import EventLog
 from laburnumbridge.telemetry.explain_answer import DecisionRecord
--- a/libs/telemetry/src/laburnumbridge/telemetry/decision.py
+++ b/libs/telemetry/src/laburnumbridge/telemetry/decision.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from laburnumbridge.telemetry.event import Event
+    from laburnumbridge.core.event import Event
 
 
 class SubjectKind(StrEnum):
--- a/libs/telemetry/src/laburnumbridge/telemetry/event_catalogue.py
+++ b/libs/telemetry/src/laburnumbridge/telemetry/event_catalogue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from laburnumbridge.telemetry.event import Event
+from laburnumbridge.core.event import Event
 
 _GROUP_BY_HUNDRED = {
     1: "Processes",
--- a/libs/telemetry/src/laburnumbridge/telemetry/event_log.py
+++ b/libs/telemetry/src/laburnumbridge/telemetry/event_log.py
@@ -9,7 +9,7 @@
 import structlog
 
 if TYPE_CHECKING:
-    from laburnumbridge.telemetry.event import Event
+    from laburnumbridge.core.event import Event
 
 _LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
