Convert IPv4 addresses without sockets

Cause: the decision libraries may not import socket. Change: pack_ipv4 and unpack_ipv4 in core, used by flows, catalog and forwarding.

--- a/libs/catalog/src/laburnumbridge/catalog/routes.py
+++ b/libs/catalog/src/laburnumbridge/catalog/routes.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from socket import inet_aton
 from typing import TYPE_CHECKING
 
 from laburnumbridge.core import hash64
+from laburnumbridge.core import pack_ipv4
 
 if TYPE_CHECKING:
     from laburnumbridge.catalog.records import Route
@@ -17,7 +17,7 @@
 
     def __init__(self, *, configuration: RoutingConfiguration) -> None:
         self._by_endpoint: dict[bytes, Route] = {
-            inet_aton(route.address) + route.port.to_bytes(2, "big"): route
+            pack_ipv4(route.address) + route.port.to_bytes(2, "big"): route
             for route in configuration.routes
         }
 
--- a/libs/core/src/laburnumbridge/core/__init__.py
+++ b/libs/core/src/laburnumbridge/core/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from laburnumbridge.core.addresses import pack_ipv4
+from laburnumbridge.core.addresses import unpack_ipv4
 from laburnumbridge.core.choice import Choice
 from laburnumbridge.core.errors import InvalidInputError
 from laburnumbridge.core.errors import LaburnumbridgeError
@@ -42,6 +44,8 @@
     "UnavailableError",
     "UpstreamName",
     "hash64",
+    "pack_ipv4",
     "rendezvous_rank",
     "rendezvous_winner",
+    "unpack_ipv4",
 ]
--- a/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
+++ b/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
@@ -5,9 +5,9 @@
 import struct
 from dataclasses import dataclass
 from enum import IntEnum
-from socket import inet_aton
-from socket import inet_ntoa
 
+from laburnumbridge.core import pack_ipv4
+from laburnumbridge.core import unpack_ipv4
 from laburnumbridge.flows.errors import MalformedPeerDatagramError
 from laburnumbridge.flows.flow_packet import FlowKey
 
@@ -86,7 +86,7 @@
         envelope.stage,
         envelope.hops,
         envelope.service_tag,
-        inet_aton(envelope.entry_address),
+        pack_ipv4(envelope.entry_address),
     )
     return head + envelope.raw
 
@@ -99,7 +99,7 @@
             stage=SearchStage(stage),
             hops=hops,
             service_tag=tag,
-            entry_address=inet_ntoa(entry),
+            entry_address=unpack_ipv4(entry),
             raw=datagram[_ENVELOPE.size :],
         )
     except (struct.error, ValueError) as error:
@@ -128,7 +128,7 @@
 
 def encode_flows(kind: DatagramKind, located: FlowsLocated) -> bytes:
     """Return a datagram of kind LOCATED (to a balancer) or RECORDS (to a keeper)."""
-    return bytes((kind,)) + inet_aton(located.agent_address) + b"".join(located.flows)
+    return bytes((kind,)) + pack_ipv4(located.agent_address) + b"".join(located.flows)
 
 
 def decode_flows(datagram: bytes) -> FlowsLocated:
@@ -137,7 +137,7 @@
     if len(datagram) < 5 or len(keys) % FLOW_KEY_BYTES:
         raise MalformedPeerDatagramError(reason="length", size=len(datagram))
     return FlowsLocated(
-        agent_address=inet_ntoa(datagram[1:5]),
+        agent_address=unpack_ipv4(datagram[1:5]),
         flows=tuple(
             FlowKey(keys[start : start + FLOW_KEY_BYTES])
             for start in range(0, len(keys), FLOW_KEY_BYTES)
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import signal
-import socket
 from abc import ABC
 from abc import abstractmethod
 from typing import TYPE_CHECKING
 
 from laburnumbridge.core import Event
+from laburnumbridge.core import unpack_ipv4
 from laburnumbridge.forwarding.decision_log import DecisionLog
 from laburnumbridge.forwarding.endpoints import parse_endpoint
 from laburnumbridge.forwarding.errors import InvalidSettingsError
@@ -36,8 +36,8 @@
 
 def flow_text(flow: FlowKey) -> str:
     """Return the id of a flow in logs: client address and port, service address and port."""
-    client = f"{socket.inet_ntoa(flow[0:4])}:{int.from_bytes(flow[4:6], 'big')}"
-    service = f"{socket.inet_ntoa(flow[6:10])}:{int.from_bytes(flow[10:12], 'big')}"
+    client = f"{unpack_ipv4(flow[0:4])}:{int.from_bytes(flow[4:6], 'big')}"
+    service = f"{unpack_ipv4(flow[6:10])}:{int.from_bytes(flow[10:12], 'big')}"
     return f"{client}>{service}"
 
 
@@ -148,7 +148,7 @@
 
     def client_endpoint(self, flow: FlowKey) -> Endpoint:
         """Return where packets of a flow go to reach its client."""
-        return socket.inet_ntoa(flow[0:4]), self.settings.packet_port
+        return unpack_ipv4(flow[0:4]), self.settings.packet_port
 
     def drop(self, reason: str, **fields: object) -> None:
         """Count and log a packet that goes no further."""
