Recover faster after a loss of power of all machines

Ruled out: the store (it answered in 4 ms all the time) and the restart of the processes (all up at 35.2 s).

Change: an agent refuses a new flow only where it knows something against it; seeds are tried again after 0.2 s with a connection time-out of 0.4 s; a process without a view reads the platform after 0.4 to 1 s; a search that found nothing counts when the agents have not changed for 0.3 s (1 s before).

--- a/libs/catalog/src/laburnumbridge/catalog/reading_rule.py
+++ b/libs/catalog/src/laburnumbridge/catalog/reading_rule.py
@@ -6,8 +6,9 @@
 
 FRESH_S = 5.0
 """A view confirmed longer ago than this is not fresh: a watch confirms it within 4 s."""
-FIRST_WAIT_S = 0.8
+FIRST_WAIT_S = 0.4
 """At its start a process waits this long for its peers' view; they start within 0.3 s."""
+FIRST_SPREAD_S = 0.6
 SPREAD_S = 1.5
 """Processes without fresh news begin to read spread over this time, so that the first serve the
 others."""
@@ -25,7 +26,8 @@
         self._process = process
         self._started_at = now
         spread = hash64(process.encode()) / (1 << 64)
-        self._patience_s = spread * SPREAD_S
+        self._first_wait_s = FIRST_WAIT_S + spread * FIRST_SPREAD_S
+        self._patience_s = FRESH_S + spread * SPREAD_S
         self._is_seed = False
         self._confirmed_elsewhere_at: float | None = None
 
@@ -50,5 +52,5 @@
         if is_seed:
             return True
         if self._confirmed_elsewhere_at is None:
-            return now - self._started_at > FIRST_WAIT_S + self._patience_s
-        return now - self._confirmed_elsewhere_at > FRESH_S + self._patience_s
+            return now - self._started_at > self._first_wait_s
+        return now - self._confirmed_elsewhere_at > self._patience_s
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -69,8 +69,9 @@
 UPKEEP_S = 0.05
 EXPIRY_S = 0.5
 PROBE_AGAIN_S = 0.5
-SETTLED_S = 1.0
-"""A search that found nothing counts only when the list of agents has not changed for so long."""
+SETTLED_S = 0.3
+"""A search that found nothing counts only when the list of agents has not changed for so long;
+news reaches all processes within a tenth of it."""
 FRESH_VIEW_S = 5.0
 STOP_WAIT_S = 0.3
 """A planned stop lets requests that are at work end; three times the mean time of one."""
@@ -133,6 +134,7 @@
         self._recorded_by_flow: dict[FlowKey, float] = {}
         self._is_upstream_silent = False
         self._is_upstream_down = False
+        self._was_listed = False
         self._probed_at = 0.0
         self._probe = UpstreamProbe(
             loop=self.loop, endpoint=self._upstream_endpoint, on_outcome=self._on_probed
@@ -167,21 +169,24 @@
         """Follow the idle time-out and the agents that keep records."""
         if self.directory.idle_timeout_s is not None:
             self._flows.idle_s = self.directory.idle_timeout_s
+        if any(entry.address == self.settings.address for entry in update.entries):
+            self._was_listed = True
         if update.entries or update.removals:
             listed = {entry.address for entry in self.view.catalog.entry_by_name.values()}
             self._choice.keep_only(listed)
 
     @property
     def _can_take(self) -> bool:
+        """False where something is known against a new flow.
+
+        An agent without a view takes what a balancer sends it: the balancer has seen the entry.
+        """
+        if self.is_stopping or self._is_upstream_down or self._is_upstream_silent:
+            return False
         entry = self.directory.entry(self.settings.address)
-        return not (
-            self.is_stopping
-            or self._is_upstream_down
-            or self._is_upstream_silent
-            or entry is None
-            or entry.is_draining
-            or service_tag(entry.service) != self._own_tag
-        )
+        if entry is None:
+            return not self._was_listed
+        return not entry.is_draining and service_tag(entry.service) == self._own_tag
 
     @property
     def _slots(self) -> int:
--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -34,8 +34,11 @@
 """A peer that sent nothing for two heartbeats and a half is given up."""
 SOURCES = 2
 """Seeds that a process gets its view from; with two, the loss of one delays nothing."""
-CONNECT_TIMEOUT_S = 1.0
-UPKEEP_S = 0.25
+CONNECT_TIMEOUT_S = 0.4
+"""A connection takes 4 ms; a VM without power doesn't answer, and one that starts answers soon."""
+RETRY_S = 0.2
+"""All processes start at once after a loss of power; the first seed that is up serves them."""
+UPKEEP_S = 0.1
 
 
 class _PeerLink:
@@ -161,7 +164,7 @@
     def _connect(self, seed: str, now: float) -> None:
         link = _PeerLink(endpoint=seed, is_outgoing=True, now=now)
         self._links.add(link)
-        self._retry_at_by_seed[seed] = now + CONNECT_TIMEOUT_S
+        self._retry_at_by_seed[seed] = now + RETRY_S
         try:
             link.stream = Stream.connect(
                 loop=self._loop,
