--- a/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
+++ b/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
@@ -44,6 +44,7 @@
 
     ``entry_address`` is the balancer that took the packet, ``hops`` counts the agents that passed
     it on, and ``service_tag`` stops an agent whose upstream serves another service.
+    ``tried`` names the agents that did not take an opening packet.
     """
 
     stage: SearchStage
@@ -51,6 +52,7 @@
     service_tag: int
     entry_address: str
     raw: bytes
+    tried: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -75,7 +77,10 @@
     flows: tuple[FlowKey, ...]
 
 
-_ENVELOPE = struct.Struct("!BBBI4s")
+_ENVELOPE = struct.Struct("!BBBI4sB")
+_ADDRESS_BYTES = 4
+MAX_TRIED = 8
+"""Addresses that an envelope holds; an opening packet is passed on less often."""
 _LOAD = struct.Struct("!BHIHB")
 
 
@@ -87,20 +92,28 @@
         envelope.hops,
         envelope.service_tag,
         pack_ipv4(envelope.entry_address),
+        len(envelope.tried),
     )
-    return head + envelope.raw
+    return head + b"".join(map(pack_ipv4, envelope.tried)) + envelope.raw
 
 
 def decode_envelope(datagram: bytes) -> Envelope:
     """Decode a datagram of kind PACKET."""
     try:
-        _, stage, hops, tag, entry = _ENVELOPE.unpack_from(datagram)
+        _, stage, hops, tag, entry, tried = _ENVELOPE.unpack_from(datagram)
+        raw_at = _ENVELOPE.size + tried * _ADDRESS_BYTES
+        if tried > MAX_TRIED or raw_at > len(datagram):
+            raise ValueError(f"{tried} agents tried")
         return Envelope(
             stage=SearchStage(stage),
             hops=hops,
             service_tag=tag,
             entry_address=unpack_ipv4(entry),
-            raw=datagram[_ENVELOPE.size :],
+            raw=datagram[raw_at:],
+            tried=tuple(
+                unpack_ipv4(datagram[start : start + _ADDRESS_BYTES])
+                for start in range(_ENVELOPE.size, raw_at, _ADDRESS_BYTES)
+            ),
         )
     except (struct.error, ValueError) as error:
         raise MalformedPeerDatagramError(reason=str(error), size=len(datagram)) from error
--- a/libs/forwarding/src/laburnumbridge/forwarding/event_loop.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/event_loop.py
@@ -8,6 +8,9 @@
 import time
 from typing import TYPE_CHECKING
 
+from laburnumbridge.forwarding.network import Loop
+from laburnumbridge.forwarding.network import Timer
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -15,21 +18,7 @@
 """A signal is handled after this time at the latest."""
 
 
-class Timer:
-    """A call that is due; ``cancel`` takes it back."""
-
-    __slots__ = ("callback", "due")
-
-    def __init__(self, *, due: float, callback: Callable[[], None]) -> None:
-        self.due = due
-        self.callback: Callable[[], None] | None = callback
-
-    def cancel(self) -> None:
-        """Don't make the call."""
-        self.callback = None
-
-
-class EventLoop:
+class EventLoop(Loop):
     """Calls back for readable and writable descriptors, due timers and signals.
 
     asyncio isn't used here: importing it alone takes 11 MB of resident memory, half of what a
@@ -46,8 +35,7 @@
         self._signals: list[int] = []
         self._handler_by_signal: dict[int, Callable[[], None]] = {}
 
-    @staticmethod
-    def now() -> float:
+    def now(self) -> float:
         """Return monotonic seconds."""
         return time.monotonic()
 
@@ -90,15 +78,6 @@
         heapq.heappush(self._timers, (timer.due, self._sequence, timer))
         return timer
 
-    def call_every(self, interval_s: float, callback: Callable[[], None]) -> None:
-        """Call ``callback`` each ``interval_s`` until the loop ends."""
-
-        def run() -> None:
-            self.call_later(interval_s, run)
-            callback()
-
-        self.call_later(interval_s, run)
-
     def run(self) -> None:
         """Run until ``stop`` is called."""
         self._running = True
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -16,6 +16,7 @@
 from laburnumbridge.flows import MalformedPeerDatagramError
 from laburnumbridge.flows import UpstreamChoice
 from laburnumbridge.flows.peer_datagrams import FLOWS_PER_DATAGRAM
+from laburnumbridge.flows.peer_datagrams import MAX_TRIED
 from laburnumbridge.flows.peer_datagrams import DatagramKind
 from laburnumbridge.flows.peer_datagrams import Envelope
 from laburnumbridge.flows.peer_datagrams import FlowsLocated
@@ -31,7 +32,6 @@
 from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
 from laburnumbridge.forwarding.forwarding_process import flow_text
 from laburnumbridge.forwarding.service_directory import service_tag
-from laburnumbridge.forwarding.udp_port import UdpPort
 from laburnumbridge.forwarding.upstream_probe import ProbeOutcome
 from laburnumbridge.forwarding.upstream_probe import UpstreamProbe
 
@@ -56,7 +56,7 @@
 HANDED_OVER_S = 3.0
 """Covers an opening packet's copies and the answer's way through the first agent."""
 MAX_HANDOVERS = 3
-"""A packet that three agents could not take is refused: a fourth would hardly differ."""
+"""The fourth agent takes an opening packet though it is busy: a fifth would hardly be free."""
 MAX_HOPS = 200
 """Ends a search whose agents disagree; the ranking alone ends all others."""
 REPORT_INTERVAL_S = 0.02
@@ -66,6 +66,8 @@
 """Balancers and agents that sent packets within this time get load reports."""
 UNANSWERED_OPENING_S = 0.08
 """An upstream answers an opening packet within a millisecond unless it is gone or stuck."""
+UPSTREAM_REFUSAL_S = 0.25
+"""An upstream that returned an opening packet is full or leaving; a few requests end meanwhile."""
 UPKEEP_S = 0.05
 EXPIRY_S = 0.5
 PROBE_AGAIN_S = 0.5
@@ -109,10 +111,8 @@
         assert upstream is not None, "an agent's settings name its upstream"
         self._upstream_endpoint = parse_endpoint(upstream.endpoint)
         self._own_tag = service_tag(upstream.service)
-        self._outputs = UdpPort(
-            loop=self.loop,
-            endpoint=parse_endpoint(upstream.output_endpoint),
-            on_datagram=self._on_upstream_datagram,
+        self._outputs = self.network.datagram_port(
+            parse_endpoint(upstream.output_endpoint), self._on_upstream_datagram
         )
         self._flows = FlowDirectory(
             limit=FLOWS_LIMIT, idle_s=DEFAULT_IDLE_S, max_age_s=self.settings.flow_max_age_s
@@ -135,9 +135,13 @@
         self._is_upstream_silent = False
         self._is_upstream_down = False
         self._was_listed = False
+        self._refuses_until = 0.0
         self._probed_at = 0.0
         self._probe = UpstreamProbe(
-            loop=self.loop, endpoint=self._upstream_endpoint, on_outcome=self._on_probed
+            loop=self.loop,
+            network=self.network,
+            endpoint=self._upstream_endpoint,
+            on_outcome=self._on_probed,
         )
         self._stopping_at = 0.0
 
@@ -183,6 +187,8 @@
         """
         if self.is_stopping or self._is_upstream_down or self._is_upstream_silent:
             return False
+        if self.loop.now() < self._refuses_until:
+            return False
         entry = self.directory.entry(self.settings.address)
         if entry is None:
             return not self._was_listed
@@ -250,17 +256,19 @@
             return "other_service"
         if not self._can_take:
             return "unavailable"
-        if self._flows.busy >= self._slots and envelope.hops < MAX_HANDOVERS:
+        if self._flows.busy >= self._slots and len(envelope.tried) < MAX_HANDOVERS:
             return "busy"
         return None
 
     def _hand_over(self, packet: FlowPacket, envelope: Envelope, reason: str, now: float) -> bool:
-        if envelope.hops >= MAX_HANDOVERS:
+        if len(envelope.tried) >= MAX_TRIED:
             return False
         others = self.directory.candidates(envelope.service_tag, now)
-        agent = self._choice.choose(
-            others, is_long=False, now=now, excluded=(self.settings.address,)
-        )
+        own = self.settings.address
+        agent = self._choice.choose(others, is_long=False, now=now, excluded=(own, *envelope.tried))
+        if agent is None and reason != "busy":
+            # All others were tried; one that was only busy takes the packet after all.
+            agent = self._choice.choose(others, is_long=False, now=now, excluded=(own,))
         if agent is None:
             return False
         self._handed_over.put(packet.flow, agent, now)
@@ -275,7 +283,8 @@
             slots=self._slots,
             revision=self.view.catalog.revision,
         )
-        self._pass_on(envelope, agent, SearchStage.DIRECT)
+        tried = (*envelope.tried, own)
+        self._pass_on(replace(envelope, tried=tried), agent, SearchStage.DIRECT)
         return True
 
     def _on_flow_packet(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
@@ -386,6 +395,7 @@
         envelope = replace(delivery.envelope, raw=raw)
         packet = self.packet_codec.decode_from_client(raw)
         if packet.is_opening:
+            self._refuses_until = now + UPSTREAM_REFUSAL_S
             if not self._hand_over(packet, envelope, "refused_by_upstream", now):
                 self._refuse(packet, "refused_by_upstream", now)
         elif was_open:
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -22,7 +22,6 @@
 from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
 from laburnumbridge.forwarding.forwarding_process import flow_text
 from laburnumbridge.forwarding.service_directory import service_tag
-from laburnumbridge.forwarding.udp_port import UdpPort
 
 if TYPE_CHECKING:
     from laburnumbridge.catalog import CatalogUpdate
@@ -57,10 +56,8 @@
 
     def __init__(self, **arguments: Any) -> None:
         super().__init__(**arguments)
-        self._packets = UdpPort(
-            loop=self.loop,
-            endpoint=parse_endpoint(self.settings.packet_endpoint),
-            on_datagram=self._on_client_datagram,
+        self._packets = self.network.datagram_port(
+            parse_endpoint(self.settings.packet_endpoint), self._on_client_datagram
         )
         self._choice = UpstreamChoice(seed=hash64(self.settings.process.encode()))
         self._agent_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -9,15 +9,12 @@
 
 from laburnumbridge.core import Event
 from laburnumbridge.core import unpack_ipv4
-from laburnumbridge.forwarding.decision_log import DecisionLog
 from laburnumbridge.forwarding.endpoints import parse_endpoint
 from laburnumbridge.forwarding.errors import InvalidSettingsError
-from laburnumbridge.forwarding.event_loop import EventLoop
 from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
 from laburnumbridge.forwarding.http_server import HttpServer
 from laburnumbridge.forwarding.metrics import Metrics
 from laburnumbridge.forwarding.service_directory import ServiceDirectory
-from laburnumbridge.forwarding.udp_port import UdpPort
 from laburnumbridge.forwarding.view_sharing import ViewSharing
 
 if TYPE_CHECKING:
@@ -27,8 +24,11 @@
     from laburnumbridge.catalog import PlatformCodec
     from laburnumbridge.flows import FlowKey
     from laburnumbridge.flows import PacketCodec
+    from laburnumbridge.forwarding.decision_log import DecisionLog
     from laburnumbridge.forwarding.endpoints import Endpoint
     from laburnumbridge.forwarding.forwarding_settings import ForwardingSettings
+    from laburnumbridge.forwarding.network import Loop
+    from laburnumbridge.forwarding.network import Network
 
 SETTINGS_CHECK_S = 0.5
 """Settings may change without a signal; reading the file's status is cheap."""
@@ -55,19 +55,22 @@
         settings_path: Path,
         packet_codec: PacketCodec,
         platform_codec: PlatformCodec,
-        loop: EventLoop | None = None,
-        log: DecisionLog | None = None,
+        loop: Loop,
+        network: Network,
+        log: DecisionLog,
     ) -> None:
-        self.loop = loop or EventLoop()
+        self.loop = loop
+        self.network = network
         self.settings = settings
         self._settings_path = settings_path
         self._settings_text = b""
         self.packet_codec = packet_codec
-        self.log = log or DecisionLog(process=settings.process)
+        self.log = log
         self.metrics = Metrics()
         self.is_stopping = False
         self.view = ViewSharing(
-            loop=self.loop,
+            loop=loop,
+            network=network,
             settings=settings,
             codec=platform_codec,
             log=self.log,
@@ -75,18 +78,16 @@
             on_change=self._on_view_change,
         )
         self.directory = ServiceDirectory(catalog=self.view.catalog)
-        self.peers = UdpPort(
-            loop=self.loop,
-            endpoint=(settings.address, settings.peer_port),
-            on_datagram=self.on_peer_datagram,
+        self.peers = network.datagram_port(
+            (settings.address, settings.peer_port), self.on_peer_datagram
         )
         self._ready_server = HttpServer(
-            loop=self.loop,
+            network=network,
             endpoint=parse_endpoint(settings.ready_endpoint),
             handler=self._readiness,
         )
         self._metrics_server = HttpServer(
-            loop=self.loop,
+            network=network,
             endpoint=(settings.address, settings.metrics_port),
             handler=self._serve_metrics,
         )
--- a/libs/forwarding/src/laburnumbridge/forwarding/http_client.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/http_client.py
@@ -7,14 +7,16 @@
 import h11
 
 from laburnumbridge.core import UnavailableError
-from laburnumbridge.forwarding.stream import Stream
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from laburnumbridge.forwarding.endpoints import Endpoint
-    from laburnumbridge.forwarding.event_loop import EventLoop
-    from laburnumbridge.forwarding.event_loop import Timer
+    from laburnumbridge.forwarding.network import ByteStream
+    from laburnumbridge.forwarding.network import Loop
+    from laburnumbridge.forwarding.network import Network
+    from laburnumbridge.forwarding.network import StreamEnd
+    from laburnumbridge.forwarding.network import Timer
 
 
 class HttpCallFailedError(UnavailableError):
@@ -32,10 +34,11 @@
     failure the connection is closed, since the lost answer may still come on it.
     """
 
-    def __init__(self, *, loop: EventLoop, endpoint: Endpoint) -> None:
+    def __init__(self, *, loop: Loop, network: Network, endpoint: Endpoint) -> None:
         self._loop = loop
+        self._network = network
         self._endpoint = endpoint
-        self._stream: Stream | None = None
+        self._stream: ByteStream | None = None
         self._protocol = h11.Connection(h11.CLIENT)
         self._timer: Timer | None = None
         self._on_answer: Callable[[int, bytes], None] | None = None
@@ -61,37 +64,27 @@
         self._on_failure = on_failure
         self._timer = self._loop.call_later(timeout_s, lambda: self._fail("timeout"))
         self._body = []
-        if self._stream is None and not self._connect():
-            return
+        stream = self._stream or self._connect()
         request = h11.Request(
             method="GET", target=target, headers=[("Host", f"{self._endpoint[0]}")]
         )
         data = (self._protocol.send(request) or b"") + (
             self._protocol.send(h11.EndOfMessage()) or b""
         )
-        assert self._stream is not None
-        self._stream.send(data)
+        stream.send(data)
 
     def close(self) -> None:
         """Close the connection; a call that is under way ends without a call back."""
         self._on_answer = self._on_failure = None
         self._disconnect()
 
-    def _connect(self) -> bool:
+    def _connect(self) -> ByteStream:
         self._protocol = h11.Connection(h11.CLIENT)
-        try:
-            self._stream = Stream.connect(
-                loop=self._loop,
-                endpoint=self._endpoint,
-                on_data=self._on_data,
-                on_closed=self._on_closed,
-                on_connected=lambda: None,
-            )
-        except OSError as error:
-            reason = f"connect failed: {error.strerror}"
-            self._loop.call_later(0.0, lambda: self._fail(reason))
-            return False
-        return True
+        stream = self._network.connect(self._endpoint)
+        stream.on_data = self._on_data
+        stream.on_end = self._on_end
+        self._stream = stream
+        return stream
 
     def _disconnect(self) -> None:
         if self._timer is not None:
@@ -101,9 +94,9 @@
             self._stream.close()
             self._stream = None
 
-    def _on_closed(self, reason: str) -> None:
+    def _on_end(self, end: StreamEnd) -> None:
         self._stream = None
-        self._fail(reason)
+        self._fail(end.reason)
 
     def _fail(self, reason: str) -> None:
         on_failure, self._on_failure, self._on_answer = self._on_failure, None, None
--- a/libs/forwarding/src/laburnumbridge/forwarding/http_server.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/http_server.py
@@ -6,15 +6,12 @@
 
 import h11
 
-from laburnumbridge.forwarding.stream import Listener
-from laburnumbridge.forwarding.stream import Stream
-
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Callable
 
     from laburnumbridge.forwarding.endpoints import Endpoint
-    from laburnumbridge.forwarding.event_loop import EventLoop
+    from laburnumbridge.forwarding.network import ByteStream
+    from laburnumbridge.forwarding.network import Network
 
 
 class HttpServer:
@@ -23,13 +20,12 @@
     def __init__(
         self,
         *,
-        loop: EventLoop,
+        network: Network,
         endpoint: Endpoint,
         handler: Callable[[str], tuple[int, bytes]],
     ) -> None:
-        self._loop = loop
         self._handler = handler
-        self._listener = Listener(loop=loop, endpoint=endpoint, on_connection=self._accept)
+        self._listener = network.listener(endpoint, self._accept)
         self._connections: set[_HttpConnection] = set()
 
     def start(self) -> None:
@@ -43,13 +39,10 @@
             connection.close()
         self._connections.clear()
 
-    def _accept(self, accepted: socket.socket, _endpoint: Endpoint) -> None:
+    def _accept(self, stream: ByteStream, _endpoint: Endpoint) -> None:
         self._connections.add(
             _HttpConnection(
-                loop=self._loop,
-                accepted=accepted,
-                handler=self._handler,
-                on_closed=self._connections.discard,
+                stream=stream, handler=self._handler, on_closed=self._connections.discard
             )
         )
 
@@ -58,20 +51,17 @@
     def __init__(
         self,
         *,
-        loop: EventLoop,
-        accepted: socket.socket,
+        stream: ByteStream,
         handler: Callable[[str], tuple[int, bytes]],
         on_closed: Callable[[_HttpConnection], None],
     ) -> None:
         self._handler = handler
         self._on_closed = on_closed
         self._protocol = h11.Connection(h11.SERVER)
-        self._stream = Stream(
-            loop=loop,
-            connection=accepted,
-            on_data=self._on_data,
-            on_closed=lambda _reason: on_closed(self),
-        )
+        self._path = ""
+        self._stream = stream
+        stream.on_data = self._on_data
+        stream.on_end = lambda _end: on_closed(self)
 
     def close(self) -> None:
         self._stream.close()
--- a/libs/forwarding/src/laburnumbridge/forwarding/run_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/run_process.py
@@ -4,12 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from laburnumbridge.forwarding.decision_log import DecisionLog
 from laburnumbridge.forwarding.errors import InvalidSettingsError
 from laburnumbridge.forwarding.errors import SocketUnavailableError
 from laburnumbridge.forwarding.errors import UnknownRoleError
+from laburnumbridge.forwarding.event_loop import EventLoop
 from laburnumbridge.forwarding.flow_agent import FlowAgent
 from laburnumbridge.forwarding.flow_balancer import FlowBalancer
 from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
+from laburnumbridge.forwarding.socket_network import SocketNetwork
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -42,7 +45,11 @@
         raise InvalidSettingsError(
             path=str(settings_path), field="upstream", reason="an agent needs its upstream"
         )
+    loop = EventLoop()
     process = _PROCESS_BY_ROLE[role](
+        loop=loop,
+        network=SocketNetwork(loop=loop),
+        log=DecisionLog(process=settings.process),
         settings=settings,
         settings_path=settings_path,
         packet_codec=packet_codec,
--- a/libs/forwarding/src/laburnumbridge/forwarding/udp_port.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/socket_datagram_port.py
@@ -1,10 +1,12 @@
-"""A UDP socket in an event loop."""
+"""UDP sockets."""
 
 from __future__ import annotations
 
 import socket
 from typing import TYPE_CHECKING
 
+from laburnumbridge.forwarding.network import DatagramPort
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -19,11 +21,8 @@
 """Holds about 0.1 s of packets at the rate that one process forwards."""
 
 
-class UdpPort:
-    """Receives datagrams into a callback and sends without blocking.
-
-    ``dropped`` counts datagrams that the kernel did not take.
-    """
+class SocketDatagramPort(DatagramPort):
+    """A non-blocking socket in an event loop."""
 
     def __init__(
         self,
--- /dev/null
+++ b/libs/forwarding/src/laburnumbridge/forwarding/socket_network.py
@@ -0,0 +1,40 @@
+"""The network on sockets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from laburnumbridge.forwarding.network import ByteStream
+from laburnumbridge.forwarding.network import Network
+from laburnumbridge.forwarding.socket_datagram_port import SocketDatagramPort
+from laburnumbridge.forwarding.socket_stream import SocketListener
+from laburnumbridge.forwarding.socket_stream import SocketStream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from laburnumbridge.forwarding.endpoints import Endpoint
+    from laburnumbridge.forwarding.event_loop import EventLoop
+
+
+class SocketNetwork(Network):
+    """Opens non-blocking sockets in an event loop."""
+
+    def __init__(self, *, loop: EventLoop) -> None:
+        self._loop = loop
+
+    def datagram_port(
+        self, endpoint: Endpoint, on_datagram: Callable[[bytes, Endpoint], None]
+    ) -> SocketDatagramPort:
+        """Return an unbound UDP socket."""
+        return SocketDatagramPort(loop=self._loop, endpoint=endpoint, on_datagram=on_datagram)
+
+    def listener(
+        self, endpoint: Endpoint, on_connection: Callable[[ByteStream, Endpoint], None]
+    ) -> SocketListener:
+        """Return a TCP listener that isn't started."""
+        return SocketListener(loop=self._loop, endpoint=endpoint, on_connection=on_connection)
+
+    def connect(self, endpoint: Endpoint) -> ByteStream:
+        """Begin to connect."""
+        return SocketStream.connect(loop=self._loop, endpoint=endpoint)
--- a/libs/forwarding/src/laburnumbridge/forwarding/stream.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/socket_stream.py
@@ -1,10 +1,15 @@
-"""A TCP connection in an event loop."""
+"""TCP connections on sockets."""
 
 from __future__ import annotations
 
+import errno
 import socket
 from typing import TYPE_CHECKING
 
+from laburnumbridge.forwarding.network import ByteStream
+from laburnumbridge.forwarding.network import StreamEnd
+from laburnumbridge.forwarding.network import StreamListener
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -18,73 +23,42 @@
 """A connection whose bytes stay unacknowledged this long is given up."""
 
 
-class Stream:
-    """Sends and receives bytes without blocking.
-
-    ``on_closed`` is called once, with the reason, when the other side or an error ends the
-    connection, and not after ``close``.
-    """
+class SocketStream(ByteStream):
+    """A non-blocking socket in an event loop."""
 
-    def __init__(
-        self,
-        *,
-        loop: EventLoop,
-        connection: socket.socket,
-        on_data: Callable[[bytes], None],
-        on_closed: Callable[[str], None],
-        on_connected: Callable[[], None] | None = None,
-    ) -> None:
+    def __init__(self, *, loop: EventLoop, connection: socket.socket, is_connected: bool) -> None:
+        super().__init__()
         self._loop = loop
         self._socket: socket.socket | None = connection
-        self._on_data = on_data
-        self._on_closed = on_closed
-        self._on_connected = on_connected
+        self._is_connected = is_connected
         self._unsent = bytearray()
         connection.setblocking(False)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-        if on_connected is None:
+        if is_connected:
             loop.watch(connection.fileno(), reader=self._read)
         else:
             loop.watch(connection.fileno(), reader=self._connected, writer=self._connected)
 
     @classmethod
-    def connect(
-        cls,
-        *,
-        loop: EventLoop,
-        endpoint: Endpoint,
-        on_data: Callable[[bytes], None],
-        on_closed: Callable[[str], None],
-        on_connected: Callable[[], None],
-    ) -> Stream:
-        """Begin to connect. Raises OSError when the kernel refuses at once."""
+    def connect(cls, *, loop: EventLoop, endpoint: Endpoint) -> SocketStream:
+        """Begin to connect."""
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         connection.setblocking(False)
-        try:
-            connection.connect(endpoint)
-        except BlockingIOError:
-            pass
-        except OSError:
-            connection.close()
-            raise
-        return cls(
-            loop=loop,
-            connection=connection,
-            on_data=on_data,
-            on_closed=on_closed,
-            on_connected=on_connected,
-        )
+        code = connection.connect_ex(endpoint)
+        stream = cls(loop=loop, connection=connection, is_connected=False)
+        if code not in (0, errno.EINPROGRESS):
+            loop.call_later(0.0, lambda: stream._end_connect(code))
+        return stream
 
     def send(self, data: bytes) -> None:
-        """Send ``data`` or queue it; a queue over its limit ends the connection."""
+        """Send ``data`` or queue it."""
         if self._socket is None:
             return
         self._unsent += data
         if len(self._unsent) > UNSENT_LIMIT_BYTES:
-            self._end("peer reads too slowly")
-            return
-        if self._on_connected is None:
+            self._end(StreamEnd(reason="peer reads too slowly"))
+        elif self._is_connected:
             self._write()
 
     def close(self) -> None:
@@ -94,22 +68,26 @@
             self._socket.close()
             self._socket = None
 
-    def _end(self, reason: str) -> None:
+    def _end(self, end: StreamEnd) -> None:
         if self._socket is not None:
             self.close()
-            self._on_closed(reason)
+            self.on_end(end)
+
+    def _end_connect(self, code: int) -> None:
+        reason = f"connect failed: {errno.errorcode.get(code, code)}"
+        self._end(StreamEnd(reason=reason, is_refused=code == errno.ECONNREFUSED))
 
     def _connected(self) -> None:
-        if self._socket is None or self._on_connected is None:
+        if self._socket is None or self._is_connected:
             return
-        error = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if error:
-            self._end(f"connect failed: errno {error}")
+        code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._end_connect(code)
             return
-        on_connected, self._on_connected = self._on_connected, None
+        self._is_connected = True
         self._loop.watch(self._socket.fileno(), reader=self._read)
-        on_connected()
-        if self._socket is not None and self._unsent:
+        self.on_connected()
+        if self._unsent:
             self._write()
 
     def _read(self) -> None:
@@ -120,12 +98,12 @@
         except BlockingIOError:
             return
         except OSError as error:
-            self._end(f"read failed: {error.strerror}")
+            self._end(StreamEnd(reason=f"read failed: {error.strerror}"))
             return
-        if not data:
-            self._end("closed by peer")
-            return
-        self._on_data(data)
+        if data:
+            self.on_data(data)
+        else:
+            self._end(StreamEnd(reason="closed by peer"))
 
     def _write(self) -> None:
         if self._socket is None:
@@ -135,14 +113,16 @@
         except BlockingIOError:
             sent = 0
         except OSError as error:
-            self._end(f"write failed: {error.strerror}")
+            # Through the loop: whoever sends may be in the middle of a list of connections.
+            end = StreamEnd(reason=f"write failed: {error.strerror}")
+            self._loop.call_later(0.0, lambda: self._end(end))
             return
         del self._unsent[:sent]
         writer = self._write if self._unsent else None
         self._loop.watch(self._socket.fileno(), reader=self._read, writer=writer)
 
 
-class Listener:
+class SocketListener(StreamListener):
     """Accepts TCP connections."""
 
     def __init__(
@@ -150,7 +130,7 @@
         *,
         loop: EventLoop,
         endpoint: Endpoint,
-        on_connection: Callable[[socket.socket, Endpoint], None],
+        on_connection: Callable[[ByteStream, Endpoint], None],
     ) -> None:
         self._loop = loop
         self._endpoint = endpoint
@@ -180,4 +160,5 @@
                 connection, endpoint = self._socket.accept()
             except OSError:
                 return  # nothing more to accept, or the connection has gone already
-            self._on_connection(connection, endpoint)
+            stream = SocketStream(loop=self._loop, connection=connection, is_connected=True)
+            self._on_connection(stream, endpoint)
--- a/libs/forwarding/src/laburnumbridge/forwarding/store_reader.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/store_reader.py
@@ -18,8 +18,9 @@
     from laburnumbridge.catalog import PlatformCodec
     from laburnumbridge.forwarding.decision_log import DecisionLog
     from laburnumbridge.forwarding.endpoints import Endpoint
-    from laburnumbridge.forwarding.event_loop import EventLoop
     from laburnumbridge.forwarding.metrics import Metrics
+    from laburnumbridge.forwarding.network import Loop
+    from laburnumbridge.forwarding.network import Network
 
 
 class StoreReader:
@@ -28,7 +29,8 @@
     def __init__(
         self,
         *,
-        loop: EventLoop,
+        loop: Loop,
+        network: Network,
         catalog: Catalog,
         codec: PlatformCodec,
         endpoint: Endpoint,
@@ -40,7 +42,7 @@
         self._loop = loop
         self._codec = codec
         self._plan = ReadPlan(catalog=catalog, reader=reader)
-        self._client = HttpClient(loop=loop, endpoint=endpoint)
+        self._client = HttpClient(loop=loop, network=network, endpoint=endpoint)
         self._log = log
         self._metrics = metrics
         self._on_update = on_update
--- a/libs/forwarding/src/laburnumbridge/forwarding/upstream_probe.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/upstream_probe.py
@@ -5,14 +5,15 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from laburnumbridge.forwarding.stream import Stream
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from laburnumbridge.forwarding.endpoints import Endpoint
-    from laburnumbridge.forwarding.event_loop import EventLoop
-    from laburnumbridge.forwarding.event_loop import Timer
+    from laburnumbridge.forwarding.network import ByteStream
+    from laburnumbridge.forwarding.network import Loop
+    from laburnumbridge.forwarding.network import Network
+    from laburnumbridge.forwarding.network import StreamEnd
+    from laburnumbridge.forwarding.network import Timer
 
 CONNECT_TIMEOUT_S = 0.5
 """On one machine a connection takes well below a millisecond."""
@@ -35,14 +36,16 @@
     def __init__(
         self,
         *,
-        loop: EventLoop,
+        loop: Loop,
+        network: Network,
         endpoint: Endpoint,
         on_outcome: Callable[[ProbeOutcome], None],
     ) -> None:
         self._loop = loop
+        self._network = network
         self._endpoint = endpoint
         self._on_outcome = on_outcome
-        self._stream: Stream | None = None
+        self._stream: ByteStream | None = None
         self._timer: Timer | None = None
 
     @property
@@ -57,18 +60,9 @@
         self._timer = self._loop.call_later(
             CONNECT_TIMEOUT_S, lambda: self._end(ProbeOutcome.SILENT)
         )
-        try:
-            self._stream = Stream.connect(
-                loop=self._loop,
-                endpoint=self._endpoint,
-                on_data=lambda _data: None,
-                on_closed=lambda _reason: self._end(ProbeOutcome.REFUSED),
-                on_connected=lambda: self._end(ProbeOutcome.LISTENING),
-            )
-        except ConnectionRefusedError:
-            self._loop.call_later(0.0, lambda: self._end(ProbeOutcome.REFUSED))
-        except OSError:
-            self._loop.call_later(0.0, lambda: self._end(ProbeOutcome.SILENT))
+        self._stream = self._network.connect(self._endpoint)
+        self._stream.on_connected = lambda: self._end(ProbeOutcome.LISTENING)
+        self._stream.on_end = self._on_end
 
     def close(self) -> None:
         """Abandon the attempt without an outcome."""
@@ -84,3 +78,6 @@
             return
         self.close()
         self._on_outcome(outcome)
+
+    def _on_end(self, end: StreamEnd) -> None:
+        self._end(ProbeOutcome.REFUSED if end.is_refused else ProbeOutcome.SILENT)
--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -14,20 +14,20 @@
 from laburnumbridge.core import rendezvous_rank
 from laburnumbridge.forwarding.endpoints import parse_endpoint
 from laburnumbridge.forwarding.store_reader import StoreReader
-from laburnumbridge.forwarding.stream import Listener
-from laburnumbridge.forwarding.stream import Stream
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Callable
 
     from laburnumbridge.catalog import CatalogUpdate
     from laburnumbridge.catalog import PlatformCodec
     from laburnumbridge.forwarding.decision_log import DecisionLog
     from laburnumbridge.forwarding.endpoints import Endpoint
-    from laburnumbridge.forwarding.event_loop import EventLoop
     from laburnumbridge.forwarding.forwarding_settings import ForwardingSettings
     from laburnumbridge.forwarding.metrics import Metrics
+    from laburnumbridge.forwarding.network import ByteStream
+    from laburnumbridge.forwarding.network import Loop
+    from laburnumbridge.forwarding.network import Network
+    from laburnumbridge.forwarding.network import StreamListener
 
 HEARTBEAT_S = 1.0
 SILENCE_S = 2.5
@@ -44,7 +44,8 @@
 class _PeerLink:
     """A connection to a peer; both sides send what the other lacks."""
 
-    def __init__(self, *, endpoint: str, is_outgoing: bool, now: float) -> None:
+    def __init__(self, *, stream: ByteStream, endpoint: str, is_outgoing: bool, now: float) -> None:
+        self.stream = stream
         self.endpoint = endpoint
         self.is_outgoing = is_outgoing
         self.is_connected = not is_outgoing
@@ -52,7 +53,6 @@
         self.heard_at = now
         self.snapshot_at = -HEARTBEAT_S
         self.updates = UpdateStream()
-        self.stream: Stream | None = None
 
 
 class ViewSharing:
@@ -66,7 +66,8 @@
     def __init__(
         self,
         *,
-        loop: EventLoop,
+        loop: Loop,
+        network: Network,
         settings: ForwardingSettings,
         codec: PlatformCodec,
         log: DecisionLog,
@@ -75,6 +76,7 @@
     ) -> None:
         self.catalog = Catalog()
         self._loop = loop
+        self._network = network
         self._settings = settings
         self._log = log
         self._metrics = metrics
@@ -84,6 +86,7 @@
         self._rule = ReadingRule(process=settings.process, now=loop.now())
         self._reader = StoreReader(
             loop=loop,
+            network=network,
             catalog=self.catalog,
             codec=codec,
             endpoint=settings.platform,
@@ -92,12 +95,10 @@
             metrics=metrics,
             on_update=lambda update: self._spread(update, None),
         )
-        self._listener: Listener | None = None
+        self._listener: StreamListener | None = None
         if settings.control_endpoint is not None:
-            self._listener = Listener(
-                loop=loop,
-                endpoint=parse_endpoint(settings.control_endpoint),
-                on_connection=self._accept,
+            self._listener = network.listener(
+                parse_endpoint(settings.control_endpoint), self._accept
             )
 
     @property
@@ -118,8 +119,7 @@
         if self._listener is not None:
             self._listener.close()
         for link in self._links:
-            if link.stream is not None:
-                link.stream.close()
+            link.stream.close()
         self._links.clear()
 
     def reload(self, settings: ForwardingSettings) -> None:
@@ -162,19 +162,16 @@
             self._connect(seed, now)
 
     def _connect(self, seed: str, now: float) -> None:
-        link = _PeerLink(endpoint=seed, is_outgoing=True, now=now)
-        self._links.add(link)
         self._retry_at_by_seed[seed] = now + RETRY_S
-        try:
-            link.stream = Stream.connect(
-                loop=self._loop,
-                endpoint=parse_endpoint(seed),
-                on_data=lambda data: self._on_data(link, data),
-                on_closed=lambda reason: self._lose(link, reason),
-                on_connected=lambda: self._on_connected(link),
-            )
-        except OSError as error:
-            self._lose(link, f"connect failed: {error.strerror}")
+        stream = self._network.connect(parse_endpoint(seed))
+        link = _PeerLink(stream=stream, endpoint=seed, is_outgoing=True, now=now)
+        stream.on_connected = lambda: self._on_connected(link)
+        self._add(link)
+
+    def _add(self, link: _PeerLink) -> None:
+        self._links.add(link)
+        link.stream.on_data = lambda data: self._on_data(link, data)
+        link.stream.on_end = lambda end: self._lose(link, end.reason)
 
     def _on_connected(self, link: _PeerLink) -> None:
         link.is_connected = True
@@ -183,23 +180,15 @@
         # Without changes: it tells the peer which revision this process has.
         self._send(link, self.catalog.heartbeat(self._loop.now()))
 
-    def _accept(self, connection: socket.socket, endpoint: Endpoint) -> None:
-        now = self._loop.now()
-        link = _PeerLink(endpoint=f"{endpoint[0]}:{endpoint[1]}", is_outgoing=False, now=now)
-        link.stream = Stream(
-            loop=self._loop,
-            connection=connection,
-            on_data=lambda data: self._on_data(link, data),
-            on_closed=lambda reason: self._lose(link, reason),
-        )
-        self._links.add(link)
+    def _accept(self, stream: ByteStream, endpoint: Endpoint) -> None:
+        name = f"{endpoint[0]}:{endpoint[1]}"
+        self._add(_PeerLink(stream=stream, endpoint=name, is_outgoing=False, now=self._loop.now()))
 
     def _lose(self, link: _PeerLink, reason: str) -> None:
         if link not in self._links:
             return
         self._links.discard(link)
-        if link.stream is not None:
-            link.stream.close()
+        link.stream.close()
         if link.is_connected:
             self._log.write(Event.PEER_LOST, peer=link.endpoint, reason=reason)
 
@@ -242,8 +231,8 @@
                 configuration=update.configuration,
             )
         )
-        for link in self._links:
-            if link is not source and link.is_connected and link.stream is not None:
+        for link in list(self._links):
+            if link is not source and link.is_connected:
                 link.stream.send(data)
 
     def _log_changes(self, update: CatalogUpdate, source: str) -> None:
@@ -277,7 +266,7 @@
         now = self._loop.now()
         data = encode_update(self.catalog.heartbeat(now))
         for link in list(self._links):
-            if not link.is_outgoing and link.stream is not None:
+            if not link.is_outgoing:
                 link.stream.send(data)
         age_s = self.catalog.confirmed_age_s(now)
         if age_s is not None:
@@ -285,8 +274,7 @@
 
     @staticmethod
     def _send(link: _PeerLink, update: CatalogUpdate) -> None:
-        if link.stream is not None:
-            link.stream.send(encode_update(update))
+        link.stream.send(encode_update(update))
 
 
 def _rounded(seconds: float | None) -> float | None:
--- /dev/null
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -0,0 +1,222 @@
+from __future__ import annotations
+
+import pytest
+
+from laburnumbridge.core import Event
+from laburnumbridge.standins.flows.simulated_fleet import SERVICE
+from laburnumbridge.standins.flows.simulated_fleet import UNUSED
+from laburnumbridge.standins.flows.simulated_fleet import SimulatedFleet
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    fleet = SimulatedFleet(directory=tmp_path)
+    fleet.start()
+    return fleet
+
+
+class TestCalmFleet:
+    def test_a_request_gets_its_answer(self, fleet):
+        # Guards against a path that loses packets between the client and the upstream.
+        flow = fleet.client.open_flow(SERVICE)
+        flow.request(b"r1")
+        fleet.world.run_for(0.2)
+        assert flow.answers == {b"r1": b"answer to r1"}
+
+    def test_each_request_runs_once(self, fleet):
+        # Guards against packets that reach two upstreams.
+        flows = [fleet.client.open_flow(SERVICE) for _ in range(40)]
+        for number, flow in enumerate(flows):
+            flow.request(b"r%d" % number)
+        fleet.world.run_for(3.0)
+        assert all(len(flow.answers) == 1 for flow in flows)
+        ran = [run for upstream in fleet.upstream_by_address.values() for run in upstream.ran]
+        assert sorted(ran) == sorted({*ran})
+
+    def test_an_address_without_a_route_is_refused_at_once(self, fleet):
+        # Guards against clients that wait 1.4 s for what can never be served.
+        flow = fleet.client.open_flow(UNUSED)
+        fleet.world.run_for(0.05)
+        assert flow.was_reset
+
+    def test_few_processes_read_the_platform(self, fleet):
+        # Guards against a fleet in which every process reads: each call is counted.
+        fleet.world.run_for(10.0)
+        assert set(fleet.platform.calls) == set(fleet.balancers[:3])
+
+
+class TestBalancersChange:
+    def test_open_flows_survive_a_new_hash_of_the_fabric(self, fleet):
+        # Guards against a balancer that sends the packet of an unknown flow to a wrong upstream.
+        flows = [fleet.client.open_flow(SERVICE) for _ in range(30)]
+        for flow in flows:
+            flow.request(b"first " + flow.key)
+        fleet.world.run_for(1.0)
+        fleet.rotation = fleet.balancers[1:]
+        for flow in flows:
+            flow.request(b"second " + flow.key)
+        fleet.world.run_for(1.0)
+        assert all(len(flow.answers) == 2 and not flow.was_reset for flow in flows)
+
+    def test_a_flow_is_found_without_the_records_of_its_keepers(self, fleet):
+        # Guards against a search that ends at keepers that lost their memory: all agents and
+        # balancers are killed and start anew while the upstreams keep their flows.
+        flows = [fleet.client.open_flow(SERVICE) for _ in range(20)]
+        for flow in flows:
+            flow.request(b"first " + flow.key)
+        fleet.world.run_for(1.0)
+        addresses = [*fleet.balancers, *fleet.agents]
+        for address in addresses:
+            fleet.kill(address)
+        for address in addresses:
+            fleet.start_process(address)
+        fleet.world.run_for(1.0)
+        for flow in flows:
+            flow.request(b"second " + flow.key)
+        fleet.world.run_for(2.0)
+        assert all(len(flow.answers) == 2 and not flow.was_reset for flow in flows)
+
+    def test_a_balancer_learns_where_a_flow_is(self, fleet):
+        # Guards against a search for every packet of a flow after a change of the fabric's hash.
+        flow = fleet.client.open_flow(SERVICE)
+        flow.request(b"first")
+        fleet.world.run_for(1.0)
+        fleet.rotation = [one for one in fleet.balancers if one != fleet.rotation[0]][::-1]
+        for number in range(10):
+            flow.request(b"next %d" % number)
+            fleet.world.run_for(0.3)
+        assert len(flow.answers) == 11
+        assert len(fleet.lines(Event.FLOW_SEARCHED)) <= 1
+
+    def test_a_planned_stop_waits_until_the_fabric_is_quiet(self, fleet):
+        # Guards against a balancer that ends while the fabric still sends it packets.
+        leaving = fleet.balancers[0]
+        fleet.terminate(leaving)
+        flow = fleet.client.open_flow(SERVICE)
+        for number in range(10):
+            flow.request(b"r%d" % number)
+            fleet.world.run_for(0.1)
+        assert fleet.is_running(leaving)
+        fleet.rotation = fleet.balancers[1:]
+        fleet.world.run_for(3.0)
+        assert not fleet.is_running(leaving)
+        assert len(flow.answers) == 10
+
+
+class TestUpstreamLost:
+    def test_clients_of_a_crashed_upstream_are_told_at_once(self, fleet):
+        # Guards against clients that wait for their deadline on a flow that nobody holds.
+        flow = fleet.client.open_flow(SERVICE)
+        flow.request(b"first")
+        fleet.world.run_for(0.5)
+        fleet.upstream_by_address[fleet.holder(flow.key)].crash()
+        others = [fleet.client.open_flow(SERVICE) for _ in range(20)]
+        for other in others:
+            other.request(b"other " + other.key)
+        fleet.world.run_for(1.0)
+        flow.request(b"second")
+        fleet.world.run_for(0.5)
+        assert flow.was_reset
+        assert all(other.answers for other in others)
+
+    def test_flows_of_a_restarted_upstream_are_reset(self, fleet):
+        # Guards against a search for a flow that its upstream has forgotten.
+        flow = fleet.client.open_flow(SERVICE)
+        flow.request(b"first")
+        fleet.world.run_for(0.5)
+        holder = fleet.holder(flow.key)
+        fleet.upstream_by_address[holder].crash()
+        fleet.start_upstream(holder)
+        flow.request(b"second")
+        fleet.world.run_for(0.3)
+        assert flow.was_reset
+        assert fleet.lines(Event.FLOW_RESET, "lost_by_upstream")
+
+    def test_no_flow_of_a_living_upstream_is_reset(self, fleet):
+        # Guards against resets by processes that have just started and know nothing.
+        flows = [fleet.client.open_flow(SERVICE) for _ in range(20)]
+        fleet.world.run_for(0.5)
+        for address in fleet.agents:
+            fleet.kill(address)
+            fleet.start_process(address)
+            for flow in flows:
+                flow.request(address.encode() + flow.key)
+            fleet.world.run_for(1.0)
+        fleet.world.run_for(3.0)
+        assert not any(flow.was_reset for flow in flows)
+        assert all(len(flow.answers) == len(fleet.agents) for flow in flows)
+
+    def test_a_draining_upstream_gets_no_new_flow(self, fleet):
+        # Guards against new work for an upstream that leaves.
+        leaving = fleet.agents[0]
+        fleet.platform.put(fleet.entry(leaving, is_draining=True))
+        fleet.world.run_for(0.1)
+        taken = len(fleet.upstream_by_address[leaving].openings)
+        flows = [fleet.client.open_flow(SERVICE) for _ in range(40)]
+        fleet.world.run_for(2.0)
+        assert all(flow.is_open for flow in flows)
+        assert len(fleet.upstream_by_address[leaving].openings) == taken
+
+    def test_an_upstream_that_refuses_openings_passes_them_on(self, fleet):
+        # Guards against clients that lose 0.2 s or more to an upstream that is full.
+        fleet.upstream_by_address[fleet.agents[0]].accepts = False
+        flows = [fleet.client.open_flow(SERVICE) for _ in range(20)]
+        fleet.world.run_for(0.1)
+        assert all(flow.is_open for flow in flows)
+
+    def test_without_an_upstream_the_refusal_comes_at_once(self, fleet):
+        # Guards against clients that wait for what is known to be impossible.
+        for address in fleet.agents:
+            fleet.upstream_by_address[address].crash()
+            fleet.platform.remove(f"up-{address}")
+        fleet.world.run_for(0.5)
+        flow = fleet.client.open_flow(SERVICE)
+        fleet.world.run_for(0.05)
+        assert flow.was_reset
+
+
+class TestRecovery:
+    def test_agents_without_a_view_take_what_balancers_send(self, fleet):
+        # Guards against refusals after a loss of power: agents that had not yet heard of their own
+        # entry refused 556 flows in one played day.
+        fleet.platform.silent |= set(fleet.agents)
+        for address in fleet.agents:
+            for seed in fleet.balancers:
+                fleet.world.cut(address, seed)
+            fleet.kill(address)
+            fleet.start_process(address)
+        fleet.world.run_for(0.1)
+        fleet.world.heal()
+        flows = [fleet.client.open_flow(SERVICE) for _ in range(12)]
+        fleet.world.run_for(0.02)
+        assert all(flow.is_open for flow in flows)
+
+    def test_all_processes_serve_again_soon_after_all_were_killed(self, fleet):
+        # Guards against a view that spreads slowly when every process starts empty.
+        addresses = [*fleet.balancers, *fleet.agents]
+        for address in addresses:
+            fleet.kill(address)
+        fleet.world.run_for(1.0)
+        for address in addresses:
+            fleet.start_process(address)
+        fleet.world.run_for(0.7)
+        flows = [fleet.client.open_flow(SERVICE) for _ in range(12)]
+        for flow in flows:
+            flow.request(b"after " + flow.key)
+        fleet.world.run_for(0.3)
+        assert all(flow.answers for flow in flows)
+
+    def test_a_view_outlives_the_platform_in_the_processes_that_hold_it(self, fleet):
+        # Guards against balancers that start empty while the platform is away and learn nothing
+        # from agents that still know everything.
+        fleet.platform.is_silent = True
+        for address in fleet.balancers:
+            fleet.kill(address)
+        fleet.world.run_for(0.5)
+        for address in fleet.balancers:
+            fleet.start_process(address)
+        fleet.world.run_for(2.0)
+        flow = fleet.client.open_flow(SERVICE)
+        flow.request(b"after")
+        fleet.world.run_for(0.3)
+        assert flow.answers
--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_client.py
@@ -0,0 +1,176 @@
+"""A stand-in for a client that opens flows."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import pack_ipv4
+from laburnumbridge.flows import FlowKey
+from laburnumbridge.standins.flows.simulated_world import SimulatedDatagramPort
+from laburnumbridge.standins.flows.simulated_world import SimulatedLoop
+from laburnumbridge.standins.flows.stand_in_packets import StandInPacket
+from laburnumbridge.standins.flows.stand_in_packets import StandInPacketCodec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from laburnumbridge.forwarding.endpoints import Endpoint
+    from laburnumbridge.forwarding.network import Timer
+    from laburnumbridge.standins.flows.simulated_world import SimulatedWorld
+
+OPENING_COPIES_S = (0.2, 0.6)
+OPENING_ENDS_S = 1.4
+FIRST_RETRANSMISSION_S = 0.2
+LONGEST_RETRANSMISSION_S = 1.6
+
+
+class ClientFlow:
+    """One flow from the client's end; a request at a time.
+
+    ``answers`` holds the answers by request; ``was_reset`` and ``has_given_up`` say how an
+    unsuccessful flow ended.
+    """
+
+    def __init__(self, *, client: SimulatedClient, key: FlowKey) -> None:
+        self._client = client
+        self.key = key
+        self.is_open = False
+        self.was_reset = False
+        self.has_given_up = False
+        self.ended_at: float | None = None
+        self.answers: dict[bytes, bytes] = {}
+        self._sent = 1
+        self._acknowledged = 0
+        self._waiting: list[bytes] = []
+        self._current: bytes | None = None
+        self._timer: Timer | None = None
+
+    def open(self) -> None:
+        """Send the opening packet, and copies while there is no answer."""
+        self._send_opening(0)
+        for number, delay_s in enumerate(OPENING_COPIES_S, start=1):
+            self._client.loop.call_later(delay_s, partial(self._copy, number))
+        self._client.loop.call_later(OPENING_ENDS_S, self._give_up_opening)
+
+    def request(self, data: bytes) -> None:
+        """Send a request, once the flow is open and earlier requests are answered."""
+        self._waiting.append(data)
+        self._send_next()
+
+    def close(self) -> None:
+        """Send the last packet."""
+        self._send(b"", is_final=True)
+
+    def on_packet(self, datagram: bytes) -> None:
+        """Handle a packet from the service's end."""
+        packet = self._client.codec.decode_from_upstream(datagram)
+        if packet.is_reset:
+            self.was_reset = True
+            self._end()
+        elif packet.is_opening_answer and not self.is_open and not self.was_reset:
+            self.is_open = True
+            self._acknowledged = (packet.sequence + 1) % (1 << 32)
+            self._send(b"")
+            self._send_next()
+        elif packet.data_length and packet.sequence == self._acknowledged:
+            self._acknowledged = (packet.sequence + packet.data_length) % (1 << 32)
+            if self._current is not None:
+                self.answers[self._current] = self._client.codec.data(packet.raw)
+                self._sent += len(self._current)
+                self._current = None
+            if self._timer is not None:
+                self._timer.cancel()
+            self._send(b"")
+            self._send_next()
+
+    def _end(self) -> None:
+        self.ended_at = self._client.loop.now()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _copy(self, number: int) -> None:
+        if not self.is_open and not self.was_reset:
+            self._send_opening(number)
+
+    def _give_up_opening(self) -> None:
+        if not self.is_open and not self.was_reset:
+            self.has_given_up = True
+            self._end()
+
+    def _send_opening(self, number: int) -> None:
+        packet = StandInPacket(flow=self.key, sequence=0, acknowledged=number, is_opening=True)
+        self._client.send(self.key, packet.encode())
+
+    def _send_next(self) -> None:
+        if self.is_open and not self.was_reset and self._current is None and self._waiting:
+            self._current = self._waiting.pop(0)
+            self._transmit(FIRST_RETRANSMISSION_S)
+
+    def _transmit(self, again_s: float) -> None:
+        if self._current is None or self.was_reset:
+            return
+        self._send(self._current)
+        longer_s = min(again_s * 2, LONGEST_RETRANSMISSION_S)
+        self._timer = self._client.loop.call_later(again_s, lambda: self._transmit(longer_s))
+
+    def _send(self, data: bytes, *, is_final: bool = False) -> None:
+        packet = StandInPacket(
+            flow=self.key,
+            sequence=self._sent,
+            acknowledged=self._acknowledged,
+            data=data,
+            is_final=is_final,
+        )
+        self._client.send(self.key, packet.encode())
+
+
+class SimulatedClient:
+    """Opens flows from one address; ``fabric`` gives the balancer for a flow, or None."""
+
+    def __init__(
+        self,
+        *,
+        world: SimulatedWorld,
+        endpoint: Endpoint,
+        fabric: Callable[[FlowKey], Endpoint | None],
+    ) -> None:
+        self.loop = SimulatedLoop(world=world, address=endpoint[0])
+        self.codec = StandInPacketCodec()
+        self._endpoint = endpoint
+        self._fabric = fabric
+        self._port = SimulatedDatagramPort(
+            loop=self.loop, endpoint=endpoint, on_datagram=self._on_datagram
+        )
+        self._next_port = 10_000
+        self._flow_by_key: dict[FlowKey, ClientFlow] = {}
+
+    def start(self) -> None:
+        """Receive packets."""
+        self._port.start()
+
+    def open_flow(self, service: Endpoint) -> ClientFlow:
+        """Open a flow to a service's address and port from a new port."""
+        self._next_port += 1
+        key = FlowKey(
+            pack_ipv4(self._endpoint[0])
+            + self._next_port.to_bytes(2, "big")
+            + pack_ipv4(service[0])
+            + service[1].to_bytes(2, "big")
+        )
+        flow = ClientFlow(client=self, key=key)
+        self._flow_by_key[key] = flow
+        flow.open()
+        return flow
+
+    def send(self, key: FlowKey, datagram: bytes) -> None:
+        """Send a packet by way of the fabric."""
+        balancer = self._fabric(key)
+        if balancer is not None:
+            self._port.send(datagram, balancer)
+
+    def _on_datagram(self, datagram: bytes, _sender: Endpoint) -> None:
+        packet = self.codec.decode_from_upstream(datagram)
+        flow = self._flow_by_key.get(packet.flow)
+        if flow is not None:
+            flow.on_packet(datagram)
--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_upstream.py
@@ -0,0 +1,161 @@
+"""A stand-in for an upstream that speaks flows."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import Choice
+from laburnumbridge.standins.flows.simulated_world import SimulatedDatagramPort
+from laburnumbridge.standins.flows.simulated_world import SimulatedListener
+from laburnumbridge.standins.flows.simulated_world import SimulatedLoop
+from laburnumbridge.standins.flows.stand_in_packets import StandInPacket
+from laburnumbridge.standins.flows.stand_in_packets import StandInPacketCodec
+
+if TYPE_CHECKING:
+    from laburnumbridge.flows import FlowKey
+    from laburnumbridge.flows import FlowPacket
+    from laburnumbridge.forwarding.endpoints import Endpoint
+    from laburnumbridge.standins.flows.simulated_world import SimulatedWorld
+
+
+@dataclass(kw_only=True, slots=True)
+class _Flow:
+    first_sequence: int
+    is_open: bool = False
+    sent: int = 0
+    received_to: int | None = None
+
+
+class SimulatedUpstream:
+    """Runs requests in slots, queues the rest, and returns packets of flows it doesn't hold.
+
+    ``ran`` lists the requests that were begun; a flow carries one request in each data packet.
+    """
+
+    def __init__(
+        self,
+        *,
+        world: SimulatedWorld,
+        endpoint: Endpoint,
+        output: Endpoint,
+        slots: int,
+        work_s: float,
+        seed: int,
+    ) -> None:
+        self._world = world
+        self._output = output
+        self._slots = slots
+        self.work_s = work_s
+        self._choice = Choice(seed=seed)
+        self._codec = StandInPacketCodec()
+        self._loop = SimulatedLoop(world=world, address=endpoint[0])
+        self._port = SimulatedDatagramPort(
+            loop=self._loop, endpoint=endpoint, on_datagram=self._on_datagram
+        )
+        self._listener = SimulatedListener(
+            loop=self._loop, endpoint=endpoint, on_connection=lambda _stream, _endpoint: None
+        )
+        self._by_flow: dict[FlowKey, _Flow] = {}
+        self._queue: list[tuple[FlowKey, bytes]] = []
+        self.busy = 0
+        self.most_queued = 0
+        self.accepts = True
+        self.ran: list[bytes] = []
+        self.openings: list[FlowKey] = []
+
+    @property
+    def open_flows(self) -> int:
+        """Number of open flows."""
+        return sum(flow.is_open for flow in self._by_flow.values())
+
+    def start(self) -> None:
+        """Receive packets."""
+        self._port.start()
+        self._listener.start()
+
+    def crash(self) -> None:
+        """End the process; its flows and requests are lost."""
+        self._port.close()
+        self._listener.close()
+        self._loop.is_alive = False
+
+    def _send(self, datagram: bytes) -> None:
+        self._port.send(datagram, self._output)
+
+    def _on_datagram(self, datagram: bytes, _sender: Endpoint) -> None:
+        packet = self._codec.decode_from_client(datagram)
+        flow = self._by_flow.get(packet.flow)
+        if packet.is_opening:
+            self._on_opening(packet, flow)
+        elif flow is None or not self._accepts_packet(packet, flow):
+            self._send(self._codec.bounced(datagram))
+        else:
+            self._on_flow_packet(packet, flow)
+
+    def _on_opening(self, packet: FlowPacket, flow: _Flow | None) -> None:
+        if flow is None:
+            if not self.accepts:
+                self._send(self._codec.bounced(packet.raw))
+                return
+            flow = _Flow(first_sequence=self._choice.below(1 << 32))
+            self._by_flow[packet.flow] = flow
+            self.openings.append(packet.flow)
+        self._answer(packet.flow, flow, b"", is_opening=True)
+
+    @staticmethod
+    def _accepts_packet(packet: FlowPacket, flow: _Flow) -> bool:
+        if not flow.is_open:
+            flow.is_open = packet.acknowledged == (flow.first_sequence + 1) % (1 << 32)
+        return flow.is_open
+
+    def _on_flow_packet(self, packet: FlowPacket, flow: _Flow) -> None:
+        if packet.is_final:
+            self._answer(packet.flow, flow, b"", is_final=True)
+            del self._by_flow[packet.flow]
+            return
+        end = packet.sequence + packet.data_length
+        if not packet.data_length or (flow.received_to is not None and end <= flow.received_to):
+            return
+        flow.received_to = end
+        self._queue.append((packet.flow, self._codec.data(packet.raw)))
+        self._run_queue()
+
+    def _run_queue(self) -> None:
+        while self._queue and self.busy < self._slots:
+            flow, request = self._queue.pop(0)
+            self.busy += 1
+            self.ran.append(request)
+            self._loop.call_later(self.work_s, partial(self._finish, flow, request))
+        self.most_queued = max(self.most_queued, len(self._queue))
+
+    def _finish(self, key: FlowKey, request: bytes) -> None:
+        self.busy -= 1
+        flow = self._by_flow.get(key)
+        if flow is not None:
+            self._answer(key, flow, b"answer to " + request)
+        self._run_queue()
+
+    def _answer(
+        self,
+        key: FlowKey,
+        flow: _Flow,
+        data: bytes,
+        *,
+        is_opening: bool = False,
+        is_final: bool = False,
+    ) -> None:
+        sequence = flow.first_sequence if is_opening else flow.first_sequence + 1 + flow.sent
+        flow.sent += len(data)
+        self._send(
+            StandInPacket(
+                flow=key,
+                sequence=sequence % (1 << 32),
+                acknowledged=0,
+                data=data,
+                is_opening=is_opening,
+                is_answer=True,
+                is_final=is_final,
+            ).encode()
+        )
--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_world.py
@@ -0,0 +1,296 @@
+"""Simulated time, machines and network."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from laburnumbridge.forwarding.network import ByteStream
+from laburnumbridge.forwarding.network import DatagramPort
+from laburnumbridge.forwarding.network import Loop
+from laburnumbridge.forwarding.network import Network
+from laburnumbridge.forwarding.network import StreamEnd
+from laburnumbridge.forwarding.network import StreamListener
+from laburnumbridge.forwarding.network import Timer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from laburnumbridge.forwarding.endpoints import Endpoint
+
+LATENCY_S = 0.0005
+LATENCY_WITHIN_VM_S = 0.00005
+
+
+class SimulatedWorld:
+    """Runs events in the order of simulated time and carries bytes between addresses.
+
+    ``cut`` silences two addresses for each other, ``lose`` decides by a callback which datagrams
+    are lost, and an address in ``dark`` neither sends nor receives.
+    """
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self.dark: set[str] = set()
+        self.lose: Callable[[bytes, Endpoint], bool] = lambda _datagram, _endpoint: False
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._cuts: set[frozenset[str]] = set()
+        self.ports: dict[Endpoint, SimulatedDatagramPort] = {}
+        self.listeners: dict[Endpoint, SimulatedListener] = {}
+
+    def schedule(self, delay_s: float, event: Callable[[], None]) -> None:
+        """Run ``event`` after ``delay_s``."""
+        self._sequence += 1
+        heapq.heappush(self._events, (self.now + delay_s, self._sequence, event))
+
+    def run_for(self, seconds: float) -> None:
+        """Advance the time, running all events that fall due."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            due, _, event = heapq.heappop(self._events)
+            self.now = max(self.now, due)
+            event()
+        self.now = end
+
+    def cut(self, first: str, second: str) -> None:
+        """Carry nothing between two addresses."""
+        self._cuts.add(frozenset((first, second)))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._cuts.clear()
+
+    def is_connected(self, first: str, second: str) -> bool:
+        """Return whether bytes get from one address to the other."""
+        if first in self.dark or second in self.dark:
+            return False
+        return frozenset((first, second)) not in self._cuts
+
+    @staticmethod
+    def latency_s(first: str, second: str) -> float:
+        """Return the one-way delay."""
+        return LATENCY_WITHIN_VM_S if first == second else LATENCY_S
+
+
+class SimulatedLoop(Loop):
+    """The loop of one process; nothing runs while it is frozen or after it has ended."""
+
+    def __init__(self, *, world: SimulatedWorld, address: str) -> None:
+        self.world = world
+        self.address = address
+        self.is_alive = True
+        self.frozen_until = 0.0
+        self._handler_by_signal: dict[int, Callable[[], None]] = {}
+        self.on_stop: Callable[[], None] = lambda: None
+
+    def now(self) -> float:
+        """Return simulated seconds."""
+        return self.world.now
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Timer:
+        """Call ``callback`` once after ``delay_s`` of simulated time."""
+        timer = Timer(due=self.world.now + delay_s, callback=callback)
+
+        def run() -> None:
+            if timer.callback is not None:
+                timer.callback()
+
+        self.world.schedule(delay_s, lambda: self.deliver(run))
+        return timer
+
+    def deliver(self, event: Callable[[], None]) -> None:
+        """Run ``event`` in the process, when it is not frozen."""
+        if not self.is_alive:
+            return
+        if self.world.now < self.frozen_until:
+            self.world.schedule(self.frozen_until - self.world.now, lambda: self.deliver(event))
+            return
+        event()
+
+    def on_signal(self, number: int, handler: Callable[[], None]) -> None:
+        """Keep the handler for ``signal``."""
+        self._handler_by_signal[number] = handler
+
+    def signal(self, number: int) -> None:
+        """Deliver a signal."""
+        self.world.schedule(0.0, lambda: self.deliver(self._handler_by_signal[number]))
+
+    def run(self) -> None:
+        """Do nothing: the world runs the events."""
+
+    def stop(self) -> None:
+        """Tell the owner that the process wants to end."""
+        self.on_stop()
+
+    def close(self) -> None:
+        """End the process."""
+        self.is_alive = False
+
+
+class SimulatedDatagramPort(DatagramPort):
+    """A UDP socket of a simulated process."""
+
+    def __init__(
+        self,
+        *,
+        loop: SimulatedLoop,
+        endpoint: Endpoint,
+        on_datagram: Callable[[bytes, Endpoint], None],
+    ) -> None:
+        self._loop = loop
+        self.endpoint = endpoint
+        self._on_datagram = on_datagram
+
+    def start(self) -> None:
+        """Bind."""
+        self._loop.world.ports[self.endpoint] = self
+
+    def close(self) -> None:
+        """Unbind."""
+        if self._loop.world.ports.get(self.endpoint) is self:
+            del self._loop.world.ports[self.endpoint]
+
+    def send(self, datagram: bytes, endpoint: Endpoint) -> bool:
+        """Carry a datagram unless it is lost."""
+        world = self._loop.world
+        source = self.endpoint
+        if not world.is_connected(source[0], endpoint[0]) or world.lose(datagram, endpoint):
+            return True  # loss doesn't show at the sender
+
+        def arrive() -> None:
+            port = world.ports.get(endpoint)
+            if port is not None and world.is_connected(source[0], endpoint[0]):
+                port._loop.deliver(lambda: port._on_datagram(datagram, source))
+
+        world.schedule(world.latency_s(source[0], endpoint[0]), arrive)
+        return True
+
+
+class SimulatedStream(ByteStream):
+    """One end of a simulated TCP connection."""
+
+    def __init__(self, *, loop: SimulatedLoop, remote_address: str) -> None:
+        super().__init__()
+        self.loop = loop
+        self.remote_address = remote_address
+        self.peer: SimulatedStream | None = None
+        self.is_open = True
+        self._unsent: list[bytes] = []
+
+    def send(self, data: bytes) -> None:
+        """Carry bytes; those that a cut stops are lost with the connection."""
+        if not self.is_open:
+            return
+        if self.peer is None:
+            self._unsent.append(data)
+            return
+        peer = self.peer
+        self._carry(lambda: peer.receive(data))
+
+    def close(self) -> None:
+        """Close; the other end is told unless it can't be reached."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        if self.peer is not None:
+            peer = self.peer
+            self._carry(lambda: peer.end(StreamEnd(reason="closed by peer")))
+
+    def receive(self, data: bytes) -> None:
+        """Hand on bytes that have arrived."""
+        if self.is_open:
+            self.on_data(data)
+
+    def end(self, end: StreamEnd) -> None:
+        """Report the end of the connection once."""
+        if self.is_open:
+            self.is_open = False
+            self.on_end(end)
+
+    def established(self, peer: SimulatedStream) -> None:
+        """Become connected to ``peer``."""
+        if not self.is_open:
+            return
+        self.peer = peer
+        self.on_connected()
+        for data in self._unsent:
+            self.send(data)
+        self._unsent.clear()
+
+    def _carry(self, event: Callable[[], None]) -> None:
+        world = self.loop.world
+        peer = self.peer
+        assert peer is not None
+
+        def arrive() -> None:
+            if world.is_connected(self.loop.address, peer.loop.address):
+                peer.loop.deliver(event)
+
+        world.schedule(world.latency_s(self.loop.address, peer.loop.address), arrive)
+
+
+class SimulatedListener(StreamListener):
+    """A listening TCP socket of a simulated process."""
+
+    def __init__(
+        self,
+        *,
+        loop: SimulatedLoop,
+        endpoint: Endpoint,
+        on_connection: Callable[[ByteStream, Endpoint], None],
+    ) -> None:
+        self.loop = loop
+        self.endpoint = endpoint
+        self.on_connection = on_connection
+
+    def start(self) -> None:
+        """Listen."""
+        self.loop.world.listeners[self.endpoint] = self
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self.loop.world.listeners.get(self.endpoint) is self:
+            del self.loop.world.listeners[self.endpoint]
+
+
+class SimulatedNetwork(Network):
+    """The network as one simulated process sees it."""
+
+    def __init__(self, *, loop: SimulatedLoop) -> None:
+        self._loop = loop
+        self._streams: list[SimulatedStream] = []
+
+    def datagram_port(
+        self, endpoint: Endpoint, on_datagram: Callable[[bytes, Endpoint], None]
+    ) -> SimulatedDatagramPort:
+        """Return an unbound UDP socket."""
+        return SimulatedDatagramPort(loop=self._loop, endpoint=endpoint, on_datagram=on_datagram)
+
+    def listener(
+        self, endpoint: Endpoint, on_connection: Callable[[ByteStream, Endpoint], None]
+    ) -> SimulatedListener:
+        """Return a listener that isn't started."""
+        return SimulatedListener(loop=self._loop, endpoint=endpoint, on_connection=on_connection)
+
+    def connect(self, endpoint: Endpoint) -> ByteStream:
+        """Connect after one round trip; an address that can't be reached stays silent."""
+        loop = self._loop
+        world = loop.world
+        stream = SimulatedStream(loop=loop, remote_address=endpoint[0])
+
+        def arrive() -> None:
+            if not world.is_connected(loop.address, endpoint[0]) or not stream.is_open:
+                return
+            listener = world.listeners.get(endpoint)
+            if listener is None or not listener.loop.is_alive:
+                end = StreamEnd(reason="connect failed: ECONNREFUSED", is_refused=True)
+                loop.deliver(lambda: stream.end(end))
+                return
+            accepted = SimulatedStream(loop=listener.loop, remote_address=loop.address)
+            accepted.peer = stream
+            listener.loop.deliver(lambda: listener.on_connection(accepted, (loop.address, 1)))
+            loop.deliver(lambda: stream.established(accepted))
+
+        world.schedule(2 * world.latency_s(loop.address, endpoint[0]), arrive)
+        return stream
