--- /dev/null
+++ b/libs/catalog/tests/test_catalog.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from laburnumbridge.catalog import Catalog
+from laburnumbridge.catalog import CatalogUpdate
+from laburnumbridge.catalog import RoutingConfiguration
+from laburnumbridge.catalog import UpstreamEntry
+from laburnumbridge.catalog import UpstreamRemoval
+
+ENTRY = UpstreamEntry(
+    name="up-1",
+    service="desk",
+    address="10.0.0.1",
+    port=80,
+    failure_domain="north",
+    slots=4,
+    is_draining=False,
+    warm_up_left_ms=0,
+    started_ms=1,
+    revision=5,
+)
+
+
+def update(**fields) -> CatalogUpdate:
+    values = {"revision": 5, "confirmed_age_ms": 0, "confirmed_by": "0/a"}
+    return CatalogUpdate(**{**values, **fields})
+
+
+def configuration(version: int) -> RoutingConfiguration:
+    return RoutingConfiguration(
+        version=version, routes=(), idle_timeout_ms=1, health_path_by_service={}
+    )
+
+
+@pytest.fixture
+def catalog():
+    catalog = Catalog()
+    catalog.merge(update(entries=(ENTRY,), configuration=configuration(7)), 0.0)
+    return catalog
+
+
+class TestMerge:
+    def test_news_is_returned_once(self, catalog):
+        # Guards against news that goes round between peers for ever.
+        newer = replace(ENTRY, revision=6, is_draining=True)
+        assert catalog.merge(update(entries=(newer,)), 0.0).entries == (newer,)
+        assert not catalog.merge(update(entries=(newer,)), 0.0).has_changes
+
+    def test_an_older_entry_changes_nothing(self, catalog):
+        # Guards against a draining upstream that gets work again through a peer's old news.
+        assert not catalog.merge(update(entries=(replace(ENTRY, revision=4),)), 0.0).has_changes
+
+    def test_an_older_configuration_never_comes_into_force(self, catalog):
+        # Guards against routes that return after they were removed.
+        assert catalog.merge(update(configuration=configuration(6)), 0.0).configuration is None
+        assert catalog.configuration.version == 7
+
+    def test_a_removed_upstream_doesnt_return_with_its_old_entry(self, catalog):
+        # Guards against peers that bring back an upstream that has left.
+        catalog.merge(update(removals=(UpstreamRemoval(name="up-1", revision=8),)), 0.0)
+        assert not catalog.merge(update(entries=(ENTRY,)), 0.0).has_changes
+        assert catalog.merge(update(entries=(replace(ENTRY, revision=9),)), 0.0).entries
+
+    def test_a_heartbeat_doesnt_raise_the_revision(self, catalog):
+        # Guards against a process that starts empty, hears a heartbeat and then asks for nothing.
+        catalog.merge(update(revision=90), 0.0)
+        assert catalog.revision == 5
+
+    def test_the_youngest_confirmation_counts(self, catalog):
+        # Guards against a view that seems fresh because of news that travelled for long.
+        catalog.merge(update(confirmed_age_ms=4_000), 10.0)
+        catalog.merge(update(confirmed_age_ms=9_000), 10.0)
+        assert catalog.confirmed_age_s(10.0) == pytest.approx(4.0)
+
+
+class TestLapse:
+    def test_an_entry_that_returns_in_time_was_never_gone(self, catalog):
+        # Guards against upstreams that lose their flows because the platform was away.
+        gone = update(removals=(UpstreamRemoval(name="up-1", revision=8),))
+        assert not catalog.merge(gone, 0.0, hold_removals_until=2.2).has_changes
+        catalog.merge(update(entries=(replace(ENTRY, revision=9),)), 1.0)
+        assert not catalog.release_held(3.0).has_changes
+        assert "up-1" in catalog.entry_by_name
+
+    def test_an_entry_that_stays_away_is_gone(self, catalog):
+        # Guards against new flows for an upstream that ended during an outage of the platform.
+        gone = update(removals=(UpstreamRemoval(name="up-1", revision=8),))
+        catalog.merge(gone, 0.0, hold_removals_until=2.2)
+        assert not catalog.release_held(2.0).has_changes
+        assert catalog.release_held(2.2).removals
+        assert not catalog.entry_by_name
+
+
+class TestSnapshot:
+    def test_a_peer_that_takes_it_has_the_same_view(self, catalog):
+        # Guards against a peer that misses removals or routes.
+        catalog.merge(update(removals=(UpstreamRemoval(name="up-1", revision=8),)), 0.0)
+        other = Catalog()
+        other.merge(update(entries=(ENTRY,)), 0.0)
+        other.merge(catalog.snapshot(1.0), 1.0)
+        assert other.entry_by_name == catalog.entry_by_name == {}
+        assert other.configuration == catalog.configuration
+        assert not other.merge(update(entries=(ENTRY,)), 1.0).has_changes
--- /dev/null
+++ b/libs/catalog/tests/test_read_plan.py
@@ -0,0 +1,125 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from laburnumbridge.catalog import Catalog
+from laburnumbridge.catalog import HistoryLostError
+from laburnumbridge.catalog import Listing
+from laburnumbridge.catalog import PlatformItems
+from laburnumbridge.catalog import PlatformRefusedError
+from laburnumbridge.catalog import ReadPlan
+from laburnumbridge.catalog import RoutingConfiguration
+from laburnumbridge.catalog import UpstreamEntry
+from laburnumbridge.catalog import UpstreamRemoval
+
+ENTRY = UpstreamEntry(
+    name="up-1",
+    service="desk",
+    address="10.0.0.1",
+    port=80,
+    failure_domain="north",
+    slots=4,
+    is_draining=False,
+    warm_up_left_ms=0,
+    started_ms=1,
+    revision=5,
+)
+OTHER = replace(ENTRY, name="up-2", address="10.0.0.2")
+CONFIGURATION = RoutingConfiguration(
+    version=7, routes=(), idle_timeout_ms=1, health_path_by_service={}
+)
+
+
+@pytest.fixture
+def catalog():
+    return Catalog()
+
+
+@pytest.fixture
+def plan(catalog):
+    return ReadPlan(catalog=catalog, reader="0/a")
+
+
+def list_all(plan: ReadPlan, *entries: UpstreamEntry, revision: int, now: float) -> None:
+    plan.on_items(PlatformItems(revision=revision, configuration=CONFIGURATION), now)
+    plan.on_items(PlatformItems(revision=revision, entries=entries), now)
+
+
+class TestListing:
+    def test_both_listings_come_before_the_watch(self, plan):
+        # Guards against a process that watches without knowing what was there before.
+        assert plan.next_call().listing is Listing.CONFIGURATION
+        plan.on_items(PlatformItems(revision=5, configuration=CONFIGURATION), 0.0)
+        assert plan.next_call().listing is Listing.UPSTREAMS
+        plan.on_items(PlatformItems(revision=6, entries=(ENTRY,)), 0.0)
+        assert plan.next_call().listing is None
+
+    def test_the_watch_begins_at_the_first_page(self, plan):
+        # Guards against changes that are missed since pages are read one after the other.
+        plan.on_items(PlatformItems(revision=5, configuration=CONFIGURATION), 0.0)
+        plan.on_items(PlatformItems(revision=8, entries=(ENTRY,), next_after="up-1"), 0.0)
+        assert plan.next_call().after_key == "up-1"
+        plan.on_items(PlatformItems(revision=9, entries=(OTHER,)), 0.0)
+        assert plan.next_call().after_revision == 5
+
+    def test_part_of_a_listing_confirms_nothing(self, plan, catalog):
+        # Guards against peers that take a view with routes and without upstreams for complete.
+        plan.on_items(PlatformItems(revision=5, configuration=CONFIGURATION), 0.0)
+        assert catalog.revision == 0
+        assert catalog.confirmed_at is None
+
+    def test_what_a_listing_doesnt_name_is_gone(self, plan, catalog):
+        # Guards against upstreams that left while the history was lost and are kept for ever.
+        list_all(plan, ENTRY, OTHER, revision=6, now=0.0)
+        plan.on_failure(HistoryLostError(status=410))
+        list_all(plan, OTHER, revision=9, now=0.1)
+        assert set(catalog.entry_by_name) == {"up-2"}
+
+    def test_an_entry_newer_than_the_listing_stays(self, plan, catalog):
+        # Guards against a listing that removes what a peer has seen after it.
+        list_all(plan, OTHER, revision=6, now=0.0)
+        catalog.merge(replace(catalog.heartbeat(0.0), entries=(replace(ENTRY, revision=30),)), 0.0)
+        plan.restart()
+        list_all(plan, OTHER, revision=9, now=0.1)
+        assert set(catalog.entry_by_name) == {"up-1", "up-2"}
+
+
+class TestFailures:
+    def test_pauses_grow_and_are_bounded(self, plan):
+        # Guards against a fleet that floods a platform that refuses it.
+        error = PlatformRefusedError(status=503)
+        pauses = [plan.on_failure(error) for _ in range(5)]
+        assert pauses == [0.2, 0.4, 0.8, 1.0, 1.0]
+
+    def test_lost_history_is_read_anew_at_once(self, plan):
+        # Guards against a second without news after each loss of history.
+        list_all(plan, ENTRY, revision=6, now=0.0)
+        assert plan.on_failure(HistoryLostError(status=410)) == 0.0
+        assert plan.next_call().listing is Listing.CONFIGURATION
+
+    def test_a_failed_watch_goes_on_where_it_was(self, plan):
+        # Guards against a complete listing after each answer that was lost.
+        list_all(plan, ENTRY, revision=6, now=0.0)
+        plan.on_failure(PlatformRefusedError(status=503))
+        assert plan.next_call().listing is None
+        assert plan.next_call().after_revision == 6
+
+    def test_entries_that_lapsed_in_an_outage_are_held(self, plan, catalog):
+        # Guards against flows that are reset because the platform was away: entries return within
+        # two seconds.
+        list_all(plan, ENTRY, OTHER, revision=6, now=0.0)
+        plan.on_failure(PlatformRefusedError(status=503))
+        removal = UpstreamRemoval(name="up-1", revision=8)
+        plan.on_items(PlatformItems(revision=8, removals=(removal,)), 5.0)
+        assert "up-1" in catalog.entry_by_name
+        catalog.release_held(7.3)
+        assert "up-1" not in catalog.entry_by_name
+
+    def test_a_removal_without_an_outage_counts_at_once(self, plan, catalog):
+        # Guards against new flows for an upstream that has left.
+        list_all(plan, ENTRY, OTHER, revision=6, now=0.0)
+        removal = UpstreamRemoval(name="up-1", revision=8)
+        plan.on_items(PlatformItems(revision=8, removals=(removal,)), 5.0)
+        assert "up-1" not in catalog.entry_by_name
--- /dev/null
+++ b/libs/catalog/tests/test_update_codec.py
@@ -0,0 +1,79 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from laburnumbridge.catalog import CatalogUpdate
+from laburnumbridge.catalog import MalformedUpdateError
+from laburnumbridge.catalog import Route
+from laburnumbridge.catalog import RoutingConfiguration
+from laburnumbridge.catalog import ServiceShare
+from laburnumbridge.catalog import UpdateStream
+from laburnumbridge.catalog import UpstreamEntry
+from laburnumbridge.catalog import UpstreamRemoval
+from laburnumbridge.catalog import encode_update
+
+UPDATE = CatalogUpdate(
+    revision=9,
+    confirmed_age_ms=20,
+    confirmed_by="0/a",
+    entries=(
+        UpstreamEntry(
+            name="up-1",
+            service="desk",
+            address="10.0.0.1",
+            port=80,
+            failure_domain="north",
+            slots=4,
+            is_draining=True,
+            warm_up_left_ms=0,
+            started_ms=1,
+            revision=5,
+        ),
+    ),
+    removals=(UpstreamRemoval(name="up-2", revision=6),),
+    configuration=RoutingConfiguration(
+        version=3,
+        routes=(
+            Route(
+                name="r",
+                address="198.18.0.1",
+                port=443,
+                shares=(ServiceShare(service="desk", weight=1),),
+                is_retryable=True,
+                is_download=False,
+                timeout_ms=3_000,
+            ),
+        ),
+        idle_timeout_ms=15_000,
+        health_path_by_service={"desk": "/healthz"},
+    ),
+)
+
+
+class TestUpdateStream:
+    @pytest.mark.parametrize("size", [1, 3, 7, 10_000])
+    def test_updates_arrive_whole_however_the_bytes_are_cut(self, size):
+        # Guards against updates that are lost or mixed at the border of two reads.
+        data = encode_update(UPDATE) * 3
+        stream = UpdateStream()
+        updates = []
+        for start in range(0, len(data), size):
+            updates += stream.feed(data[start : start + size])
+        assert updates == [UPDATE] * 3
+
+    def test_a_length_beyond_reason_is_refused(self):
+        # Guards against a stream that waits for gigabytes.
+        with pytest.raises(MalformedUpdateError):
+            UpdateStream().feed(b"\xff\xff\xff\xff")
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.binary(max_size=60))
+    def test_random_bytes_raise_the_typed_error_only(self, body):
+        # Guards against a process that ends on a peer's broken stream.
+        try:
+            UpdateStream().feed(len(body).to_bytes(4, "big") + body)
+        except MalformedUpdateError:
+            return
--- /dev/null
+++ b/libs/flows/tests/test_peer_datagrams.py
@@ -0,0 +1,62 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from laburnumbridge.flows import FlowKey
+from laburnumbridge.flows import MalformedPeerDatagramError
+from laburnumbridge.flows.peer_datagrams import DatagramKind
+from laburnumbridge.flows.peer_datagrams import Envelope
+from laburnumbridge.flows.peer_datagrams import FlowsLocated
+from laburnumbridge.flows.peer_datagrams import LoadReport
+from laburnumbridge.flows.peer_datagrams import SearchStage
+from laburnumbridge.flows.peer_datagrams import decode_envelope
+from laburnumbridge.flows.peer_datagrams import decode_flows
+from laburnumbridge.flows.peer_datagrams import decode_load
+from laburnumbridge.flows.peer_datagrams import encode_envelope
+from laburnumbridge.flows.peer_datagrams import encode_flows
+from laburnumbridge.flows.peer_datagrams import encode_load
+
+
+class TestRoundTrip:
+    def test_an_envelope_keeps_its_fields(self):
+        # Guards against a packet that is changed on its way between processes.
+        envelope = Envelope(
+            stage=SearchStage.RECORDED,
+            hops=3,
+            service_tag=0xFFFFFFFF,
+            entry_address="10.1.2.3",
+            raw=b"packet",
+            tried=("10.0.0.1", "10.0.0.255"),
+        )
+        assert decode_envelope(encode_envelope(envelope)) == envelope
+
+    def test_a_load_report_keeps_its_fields(self):
+        # Guards against placement on wrong figures.
+        report = LoadReport(busy=3, open_flows=70_000, slots=4, is_available=True)
+        assert decode_load(encode_load(report)) == report
+
+    def test_located_flows_keep_their_keys(self):
+        # Guards against records under wrong keys.
+        flows = (FlowKey(bytes(range(12))), FlowKey(bytes(12)))
+        located = FlowsLocated(agent_address="10.0.0.9", flows=flows)
+        assert decode_flows(encode_flows(DatagramKind.LOCATED, located)) == located
+
+
+class TestBadInput:
+    @settings(derandomize=True, max_examples=300)
+    @given(st.binary(max_size=80))
+    def test_random_bytes_raise_the_typed_error_only(self, datagram):
+        # Guards against a process that ends on a datagram that isn't one of its peers'.
+        for decode in (decode_envelope, decode_load, decode_flows):
+            try:
+                decode(datagram)
+            except MalformedPeerDatagramError:
+                continue
+
+    def test_a_truncated_list_of_flows_is_refused(self):
+        # Guards against a key that is cut in the middle.
+        with pytest.raises(MalformedPeerDatagramError):
+            decode_flows(bytes(5 + 11))
