Avoid agents that stand still, also when agents pass openings on

Cause: a simulated fleet with a frozen agent showed openings that waited 0.6 s and more: an agent of which nothing is known counted as idle, busy agents passed openings on to it, and a copy of the opening packet followed the first hand-over to the same frozen agent.

Change: silence of agents is part of the placement, for balancers and agents alike; an agent without a fresh report counts as busy as the others on average; a copy doesn't follow a hand-over to an agent that has been silent for 0.15 s. Ages go on while a VM is suspended. A packet of an unknown flow whose route isn't known is dropped, not reset: this balancer's configuration may be behind.

--- a/libs/flows/src/laburnumbridge/flows/upstream_choice.py
+++ b/libs/flows/src/laburnumbridge/flows/upstream_choice.py
@@ -14,6 +14,8 @@
 
 PENDING_S = 0.05
 """How long an own placement counts before the agent's report shows it: two report intervals."""
+SILENCE_S = 0.5
+"""An agent answers packets with a load report within 0.2 s; one that doesn't stands still."""
 STALE_REPORT_S = 1.0
 """After this a report of busy slots says nothing: requests take a tenth of it."""
 
@@ -50,15 +52,35 @@
         self._load_by_agent: dict[str, _KnownLoad] = {}
         self._placed_by_agent: dict[str, list[float]] = {}
         self._avoid_until_by_agent: dict[str, float] = {}
+        self._unanswered_since_by_agent: dict[str, float] = {}
+
+    def sent(self, agent: str, now: float) -> None:
+        """Note that a packet went to ``agent``, which shall answer with a load report."""
+        self._unanswered_since_by_agent.setdefault(agent, now)
+
+    def heard(self, agent: str) -> None:
+        """Note that ``agent`` has sent something."""
+        self._unanswered_since_by_agent.pop(agent, None)
+
+    def silence_s(self, agent: str, now: float) -> float:
+        """Return how long ``agent`` has left packets unanswered."""
+        return now - self._unanswered_since_by_agent.get(agent, now)
 
     def report(self, agent: str, report: LoadReport, now: float) -> None:
         """Take in a load report."""
+        self.heard(agent)
         self._load_by_agent[agent] = _KnownLoad(report=report, reported_at=now)
 
     def keep_only(self, agents: Collection[str]) -> None:
         """Drop what is known of all other agents."""
-        known = {*self._load_by_agent, *self._placed_by_agent, *self._avoid_until_by_agent}
+        known = {
+            *self._load_by_agent,
+            *self._placed_by_agent,
+            *self._avoid_until_by_agent,
+            *self._unanswered_since_by_agent,
+        }
         for agent in known.difference(agents):
+            self.heard(agent)
             self._load_by_agent.pop(agent, None)
             self._placed_by_agent.pop(agent, None)
             self._avoid_until_by_agent.pop(agent, None)
@@ -78,10 +100,11 @@
         """Return the agent for a new flow, or None if there is no candidate."""
         best: tuple[float, float, float] | None = None
         chosen = None
+        usual_share = self._mean_busy_share(candidates, now)
         for candidate in candidates:
             if candidate.agent in excluded:
                 continue
-            score = self._score(candidate, is_long=is_long, now=now)
+            score = self._score(candidate, usual_share, is_long=is_long, now=now)
             if best is None or score < best:
                 best = score
                 chosen = candidate.agent
@@ -89,19 +112,35 @@
             self._placed_by_agent.setdefault(chosen, []).append(now)
         return chosen
 
+    def _mean_busy_share(self, candidates: Collection[Candidate], now: float) -> float:
+        shares = [
+            known.report.busy / max(known.report.slots, 1)
+            for candidate in candidates
+            if (known := self._fresh_load(candidate.agent, now)) is not None
+        ]
+        return sum(shares) / len(shares) if shares else 0.0
+
+    def _fresh_load(self, agent: str, now: float) -> _KnownLoad | None:
+        known = self._load_by_agent.get(agent)
+        if known is None or now - known.reported_at > STALE_REPORT_S:
+            return None
+        return known
+
     def _score(
-        self, candidate: Candidate, *, is_long: bool, now: float
+        self, candidate: Candidate, usual_share: float, *, is_long: bool, now: float
     ) -> tuple[float, float, float]:
+        agent = candidate.agent
         capacity = max(candidate.slots * candidate.slow_start, 0.25)
-        pending = self._pending(candidate.agent, now)
-        known = self._load_by_agent.get(candidate.agent)
-        busy, open_flows, available = 0, 0, True
-        if known is not None:
-            open_flows = known.report.open_flows
-            available = known.report.is_available
-            if now - known.reported_at < STALE_REPORT_S:
-                busy = known.report.busy
-        if self._avoid_until_by_agent.get(candidate.agent, 0.0) > now:
+        pending = self._pending(agent, now)
+        fresh = self._fresh_load(agent, now)
+        # An agent of which nothing is known lately is neither idle nor full.
+        busy = usual_share * candidate.slots if fresh is None else fresh.report.busy
+        known = self._load_by_agent.get(agent)
+        open_flows = 0 if known is None else known.report.open_flows
+        available = known is None or known.report.is_available
+        if self._avoid_until_by_agent.get(agent, 0.0) > now:
+            available = False
+        if self.silence_s(agent, now) > SILENCE_S:
             available = False
         busy_share = (busy + pending) / capacity
         flow_share = (open_flows + pending) / capacity
--- a/libs/forwarding/src/laburnumbridge/forwarding/event_loop.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/event_loop.py
@@ -36,8 +36,11 @@
         self._handler_by_signal: dict[int, Callable[[], None]] = {}
 
     def now(self) -> float:
-        """Return monotonic seconds."""
-        return time.monotonic()
+        """Return monotonic seconds that go on while the VM is suspended.
+
+        After a suspension every age is true, so an old view doesn't pass for a fresh one.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def on_signal(self, number: int, handler: Callable[[], None]) -> None:
         """Call ``handler`` in the loop after the signal arrives."""
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -64,6 +64,8 @@
 """A balancer that sent packets hears from the agent this often even without a change."""
 REPORTER_S = 1.0
 """Balancers and agents that sent packets within this time get load reports."""
+COPY_S = 0.15
+"""A client copies its opening packet after 0.2 s: an agent silent until then has not taken it."""
 UNANSWERED_OPENING_S = 0.08
 """An upstream answers an opening packet within a millisecond unless it is gone or stuck."""
 UPSTREAM_REFUSAL_S = 0.25
@@ -236,8 +238,10 @@
     def _on_opening(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         taken_over_by = self._handed_over.get(packet.flow, now)
         if taken_over_by is not None and envelope.hops == 0:
-            self._pass_on(envelope, taken_over_by, SearchStage.DIRECT)
-            return
+            if self._choice.silence_s(taken_over_by, now) < COPY_S:
+                self._pass_on(envelope, taken_over_by, SearchStage.DIRECT)
+                return
+            envelope = replace(envelope, tried=(taken_over_by,))
         if self._flows.get(packet.flow) is None:
             reason = self._reason_to_hand_over(envelope)
             if reason is not None and self._hand_over(packet, envelope, reason, now):
@@ -271,6 +275,7 @@
             agent = self._choice.choose(others, is_long=False, now=now, excluded=(own,))
         if agent is None:
             return False
+        self._choice.sent(agent, now)
         self._handed_over.put(packet.flow, agent, now)
         self.metrics.count("flows_handed_over_total", reason)
         self.log.write(
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -43,8 +43,6 @@
 STOP_MARGIN_S = 1.0
 """A stop ends this long before the platform kills the process."""
 UPKEEP_S = 0.25
-AGENT_SILENCE_S = 0.5
-"""An agent answers packets with a load report within 0.2 s."""
 
 
 class FlowBalancer(ForwardingProcess):
@@ -63,7 +61,6 @@
         self._agent_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
             ttl_s=FLOW_MEMORY_S, limit=FLOWS_LIMIT
         )
-        self._unanswered_since_by_agent: dict[str, float] = {}
         self._last_packet_at = self.loop.now()
         self._stopping_at = 0.0
 
@@ -89,9 +86,6 @@
     def on_view_change(self, update: CatalogUpdate) -> None:
         """Forget the load of agents that left."""
         listed = {entry.address for entry in self.view.catalog.entry_by_name.values()}
-        for agent in list(self._unanswered_since_by_agent):
-            if agent not in listed:
-                self._unanswered_since_by_agent.pop(agent)
         self._choice.keep_only(listed)
 
     def on_peer_datagram(self, datagram: bytes, sender: Endpoint) -> None:
@@ -110,7 +104,7 @@
         except MalformedPeerDatagramError as error:
             self.drop("peer_malformed", peer=sender[0], fault=error.reason)
             return
-        self._unanswered_since_by_agent.pop(sender[0], None)
+        self._choice.heard(sender[0])
 
     def _on_client_datagram(self, datagram: bytes, sender: Endpoint) -> None:
         now = self.loop.now()
@@ -125,7 +119,7 @@
             return
         route = self.directory.route(packet.flow)
         if route is None:
-            self._reset(packet, "no_route")
+            self._refuse_unrouted(packet, now)
         elif packet.is_opening:
             self._open(packet, route, now)
         else:
@@ -180,6 +174,14 @@
         )
         self._send(packet, agent, tag, SearchStage.RANKED, now)
 
+    def _refuse_unrouted(self, packet: FlowPacket, now: float) -> None:
+        is_known = self._agent_by_flow.get(packet.flow, now) is not None
+        if packet.is_opening or is_known:
+            self._reset(packet, "no_route")
+        else:
+            # Opened through a balancer that has a newer configuration, perhaps: this view may lag.
+            self.drop("no_route", flow=flow_text(packet.flow))
+
     def _tag(self, route: Route, flow: FlowKey) -> int:
         return service_tag(RouteIndex.service(route, flow))
 
@@ -187,7 +189,7 @@
         self, packet: FlowPacket, agent: str, tag: int, stage: SearchStage, now: float
     ) -> None:
         self.metrics.count("packets_forwarded_total")
-        self._unanswered_since_by_agent.setdefault(agent, now)
+        self._choice.sent(agent, now)
         envelope = Envelope(
             stage=stage,
             hops=0,
@@ -207,9 +209,6 @@
         now = self.loop.now()
         self._agent_by_flow.expire(now)
         self.metrics.gauge("flows_known", len(self._agent_by_flow))
-        for agent, since in self._unanswered_since_by_agent.items():
-            if now - since > AGENT_SILENCE_S:
-                self._choice.avoid(agent, now + 2 * UPKEEP_S)
         if self.is_stopping:
             self._finish_when_quiet(now)
 
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -2,10 +2,16 @@
 
 import pytest
 
+from laburnumbridge.core import Choice
 from laburnumbridge.core import Event
+from laburnumbridge.standins.flows.simulated_fleet import CLIENT
+from laburnumbridge.standins.flows.simulated_fleet import OUTPUT_PORT
+from laburnumbridge.standins.flows.simulated_fleet import PACKET_PORT
+from laburnumbridge.standins.flows.simulated_fleet import PEER_PORT
 from laburnumbridge.standins.flows.simulated_fleet import SERVICE
 from laburnumbridge.standins.flows.simulated_fleet import UNUSED
 from laburnumbridge.standins.flows.simulated_fleet import SimulatedFleet
+from laburnumbridge.standins.flows.simulated_world import SimulatedDatagramPort
 
 
 @pytest.fixture
@@ -220,3 +226,143 @@
         flow.request(b"after")
         fleet.world.run_for(0.3)
         assert flow.answers
+
+
+class TestConfiguration:
+    def test_a_flow_of_a_removed_route_is_reset(self, fleet):
+        # Guards against flows that go on after their route was removed.
+        flow = fleet.client.open_flow(SERVICE)
+        flow.request(b"first")
+        fleet.world.run_for(0.5)
+        fleet.configure(version=2, endpoints=(UNUSED,))
+        fleet.world.run_for(0.1)
+        flow.request(b"second")
+        fleet.world.run_for(0.1)
+        assert flow.was_reset
+        assert fleet.client.open_flow(UNUSED) is not None
+
+    def test_a_balancer_with_an_old_configuration_resets_no_open_flow(self, fleet):
+        # Guards against a balancer that can't hear of a new route and ends flows that others opened.
+        behind = fleet.balancers[0]
+        for address in (*fleet.balancers[1:], *fleet.agents, "10.200.0.1"):
+            fleet.world.cut(behind, address)
+        fleet.rotation = fleet.balancers[1:]
+        fleet.configure(version=2, endpoints=(SERVICE, UNUSED))
+        fleet.world.run_for(0.2)
+        flow = fleet.client.open_flow(UNUSED)
+        flow.request(b"first")
+        fleet.world.run_for(0.3)
+        fleet.rotation = [behind]
+        flow.request(b"second")
+        fleet.world.run_for(1.0)
+        assert not flow.was_reset
+        fleet.rotation = fleet.balancers[1:]
+        fleet.world.run_for(2.0)
+        assert len(flow.answers) == 2
+
+    def test_a_new_configuration_is_in_force_everywhere_at_once(self, fleet):
+        # Guards against balancers that serve an old configuration for seconds.
+        fleet.configure(version=2, endpoints=(SERVICE, UNUSED))
+        fleet.world.run_for(0.05)
+        for balancer in fleet.balancers:
+            fleet.rotation = [balancer]
+            flow = fleet.client.open_flow(UNUSED)
+            fleet.world.run_for(0.05)
+            assert flow.is_open
+
+
+class TestPlatformAway:
+    def test_another_process_reads_when_the_platform_refuses_all_seeds(self, fleet):
+        # Guards against a view that stays old since those that read are turned away.
+        fleet.platform.refused |= set(fleet.balancers)
+        fleet.world.run_for(8.0)
+        fleet.platform.put(fleet.entry(fleet.agents[0], is_draining=True))
+        fleet.world.run_for(0.2)
+        for address in (*fleet.balancers, *fleet.agents):
+            catalog = fleet.process_by_address[address].view.catalog
+            assert catalog.entry_by_name[f"up-{fleet.agents[0]}"].is_draining
+
+    def test_calls_stay_few_while_the_platform_refuses_everybody(self, fleet):
+        # Guards against a flood of calls, each of which is counted, from processes that retry.
+        fleet.platform.refused |= {*fleet.balancers, *fleet.agents}
+        before = sum(fleet.platform.calls.values())
+        fleet.world.run_for(20.0)
+        calls = sum(fleet.platform.calls.values()) - before
+        processes = len(fleet.balancers) + len(fleet.agents)
+        assert calls <= processes * 20 * 1.5
+
+    def test_lost_history_loses_no_change(self, fleet):
+        # Guards against changes that fall between a lost history and the next listing.
+        fleet.platform.compact()
+        fleet.platform.remove(f"up-{fleet.agents[0]}")
+        fleet.world.run_for(0.5)
+        for address in (*fleet.balancers, *fleet.agents[1:]):
+            catalog = fleet.process_by_address[address].view.catalog
+            assert f"up-{fleet.agents[0]}" not in catalog.entry_by_name
+
+
+class TestAgents:
+    def test_a_frozen_agent_gets_no_new_flow_for_long(self, fleet):
+        # Guards against balancers that go on sending to an agent that stands still.
+        fleet.freeze(fleet.agents[0], 4.0)
+        flows = []
+        for number in range(80):
+            flow = fleet.client.open_flow(SERVICE)
+            flow.request(b"r%d" % number)
+            flows.append(flow)
+            fleet.world.run_for(0.04)
+        fleet.world.run_for(0.3)
+        assert all(flow.answers for flow in flows[40:])
+        delayed = [flow for flow in flows if flow.opening_s > 0.1]
+        assert len(delayed) <= 2 * len(fleet.balancers)
+
+    def test_a_planned_restart_of_an_agent_breaks_no_flow(self, fleet):
+        # Guards against a stop that resets flows of an upstream that lives.
+        flows = [fleet.client.open_flow(SERVICE) for _ in range(12)]
+        for flow in flows:
+            flow.request(b"first " + flow.key)
+        fleet.world.run_for(0.5)
+        for address in fleet.agents:
+            fleet.terminate(address)
+            fleet.world.run_for(0.8)
+            assert not fleet.is_running(address)
+            fleet.start_process(address)
+            fleet.world.run_for(0.5)
+        for flow in flows:
+            flow.request(b"second " + flow.key)
+        fleet.world.run_for(2.5)
+        assert not any(flow.was_reset for flow in flows)
+        assert all(len(flow.answers) == 2 for flow in flows)
+
+    def test_the_flows_of_an_upstream_that_has_ended_are_reset_at_the_stop(self, fleet):
+        # Guards against clients that wait for their deadline after a planned replacement.
+        flow = fleet.client.open_flow(SERVICE)
+        flow.request(b"first")
+        fleet.world.run_for(0.5)
+        holder = fleet.holder(flow.key)
+        fleet.upstream_by_address[holder].crash()
+        fleet.terminate(holder)
+        fleet.world.run_for(0.3)
+        assert flow.was_reset
+
+
+class TestBadInput:
+    def test_no_datagram_ends_a_process_or_reaches_an_upstream(self, fleet):
+        # Guards against forged, truncated and random datagrams.
+        choice = Choice(seed=7)
+        taken = sum(len(one.openings) for one in fleet.upstream_by_address.values())
+        port = SimulatedDatagramPort(
+            loop=fleet.client.loop, endpoint=(CLIENT[0], 9), on_datagram=lambda *_: None
+        )
+        targets = [(address, PACKET_PORT) for address in fleet.balancers]
+        targets += [(address, PEER_PORT) for address in (*fleet.balancers, *fleet.agents)]
+        targets += [(address, OUTPUT_PORT) for address in fleet.agents]
+        for _ in range(2_000):
+            size = choice.below(60)
+            kind = choice.below(6)
+            datagram = bytes([kind] + [choice.below(256) for _ in range(size)])[: size or 0]
+            port.send(datagram, choice.one_of(targets))
+        fleet.world.run_for(1.0)
+        addresses = (*fleet.balancers, *fleet.agents)
+        assert all(fleet.is_running(address) for address in addresses)
+        assert taken == sum(len(one.openings) for one in fleet.upstream_by_address.values())
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_client.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_client.py
@@ -29,7 +29,7 @@
     """One flow from the client's end; a request at a time.
 
     ``answers`` holds the answers by request; ``was_reset`` and ``has_given_up`` say how an
-    unsuccessful flow ended.
+    unsuccessful flow ended, ``opening_s`` how long the flow took to open.
     """
 
     def __init__(self, *, client: SimulatedClient, key: FlowKey) -> None:
@@ -39,6 +39,8 @@
         self.was_reset = False
         self.has_given_up = False
         self.ended_at: float | None = None
+        self._began_at = client.loop.now()
+        self.opening_s = OPENING_ENDS_S
         self.answers: dict[bytes, bytes] = {}
         self._sent = 1
         self._acknowledged = 0
@@ -70,6 +72,7 @@
             self._end()
         elif packet.is_opening_answer and not self.is_open and not self.was_reset:
             self.is_open = True
+            self.opening_s = self._client.loop.now() - self._began_at
             self._acknowledged = (packet.sequence + 1) % (1 << 32)
             self._send(b"")
             self._send_next()
