--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -242,7 +242,7 @@
         assert fleet.client.open_flow(UNUSED) is not None
 
     def test_a_balancer_with_an_old_configuration_resets_no_open_flow(self, fleet):
-        # Guards against a balancer that can't hear of a new route and ends flows that others opened.
+        # Guards against a balancer that hasn't heard of a new route and ends the flows of others.
         behind = fleet.balancers[0]
         for address in (*fleet.balancers[1:], *fleet.agents, "10.200.0.1"):
             fleet.world.cut(behind, address)
