Hold new flows at the agent when all agents are busy, the newest first

Cause: after an outage the requests of a second arrive at once.

Change: an agent whose upstream has a request for each slot and a few to spare, and whose siblings are busy too, holds opening packets: the newest goes first, one that waited 1.2 s is refused (it never ran), and waiting ones go to siblings that report a free slot. A copy of an opening packet goes to the agent that already has it, if that one has answered since.

Ruled out: the queue of the upstream with fewer requests (it runs them in order of arrival).

--- a/libs/catalog/src/laburnumbridge/catalog/reading_rule.py
+++ b/libs/catalog/src/laburnumbridge/catalog/reading_rule.py
@@ -6,8 +6,11 @@
 
 FRESH_S = 5.0
 """A view confirmed longer ago than this is not fresh: a watch confirms it within 4 s."""
+ENTRY_FIRST_WAIT_S = 0.05
+"""A process that can't work without a view waits one round trip to its peers for it."""
+ENTRY_FIRST_SPREAD_S = 0.1
 FIRST_WAIT_S = 0.4
-"""At its start a process waits this long for its peers' view; they start within 0.3 s."""
+"""At its start any other process waits this long for its peers' view; they start within 0.3 s."""
 FIRST_SPREAD_S = 0.6
 SPREAD_S = 1.5
 """Processes without fresh news begin to read spread over this time, so that the first serve the
@@ -19,14 +22,18 @@
 
     Each call to the platform counts, so few processes read: those that the settings name as
     seeds. Another process reads only while it gets no fresh view, and it stops when a process of
-    higher rank confirms the view. Seeds rank before others, then the name decides.
+    higher rank confirms the view. Seeds rank before others, then the name decides. A process that
+    ``needs_view`` to do anything reads right at its start when no peer answers: two calls by each
+    balancer are 1,560 at full size, less than the platform answers in a second.
     """
 
-    def __init__(self, *, process: str, now: float) -> None:
+    def __init__(self, *, process: str, needs_view: bool, now: float) -> None:
         self._process = process
         self._started_at = now
         spread = hash64(process.encode()) / (1 << 64)
         self._first_wait_s = FIRST_WAIT_S + spread * FIRST_SPREAD_S
+        if needs_view:
+            self._first_wait_s = ENTRY_FIRST_WAIT_S + spread * ENTRY_FIRST_SPREAD_S
         self._patience_s = FRESH_S + spread * SPREAD_S
         self._is_seed = False
         self._confirmed_elsewhere_at: float | None = None
--- a/libs/core/src/laburnumbridge/core/event.py
+++ b/libs/core/src/laburnumbridge/core/event.py
@@ -46,6 +46,7 @@
     FLOW_RESET = (407, "info", "The client was told to give a flow up.")
     FLOW_SEARCHED = (408, "info", "A packet of a flow that isn't known here was passed on.")
     FLOW_LOCATED = (409, "info", "A flow was found at an agent.")
+    FLOW_HELD = (411, "info", "A new flow waits for a free slot.")
     PACKET_DROPPED = (410, "warning", "A packet was dropped.")
     REQUEST_REFUSED = (501, "info", "A request was refused before it ran.")
     REQUEST_RETRIED = (502, "info", "A request is tried on another upstream.")
--- a/libs/flows/src/laburnumbridge/flows/upstream_choice.py
+++ b/libs/flows/src/laburnumbridge/flows/upstream_choice.py
@@ -15,7 +15,7 @@
 PENDING_S = 0.05
 """How long an own placement counts before the agent's report shows it: two report intervals."""
 SILENCE_S = 0.5
-"""An agent answers packets with a load report within 0.2 s; one that doesn't stands still."""
+"""An agent answers packets with a load report within 0.1 s; one that doesn't stands still."""
 STALE_REPORT_S = 1.0
 """After this a report of busy slots says nothing: requests take a tenth of it."""
 
@@ -112,9 +112,22 @@
             self._placed_by_agent.setdefault(chosen, []).append(now)
         return chosen
 
+    def choose_idle(
+        self, candidates: Collection[Candidate], *, now: float, excluded: Collection[str] = ()
+    ) -> str | None:
+        """Return an agent that has reported a free slot lately, or None."""
+        idle = [
+            candidate
+            for candidate in candidates
+            if (known := self._fresh_load(candidate.agent, now)) is not None
+            and known.report.busy + self._pending(candidate.agent, now) < candidate.slots
+            and known.report.is_available
+        ]
+        return self.choose(idle, is_long=False, now=now, excluded=excluded)
+
     def _mean_busy_share(self, candidates: Collection[Candidate], now: float) -> float:
         shares = [
-            known.report.busy / max(known.report.slots, 1)
+            known.report.busy / max(candidate.slots, 1)
             for candidate in candidates
             if (known := self._fresh_load(candidate.agent, now)) is not None
         ]
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -14,6 +14,7 @@
 from laburnumbridge.flows import FlowState
 from laburnumbridge.flows import MalformedPacketError
 from laburnumbridge.flows import MalformedPeerDatagramError
+from laburnumbridge.flows import OpeningQueue
 from laburnumbridge.flows import UpstreamChoice
 from laburnumbridge.flows.peer_datagrams import FLOWS_PER_DATAGRAM
 from laburnumbridge.flows.peer_datagrams import MAX_TRIED
@@ -60,10 +61,18 @@
 MAX_HOPS = 200
 """Ends a search whose agents disagree; the ranking alone ends all others."""
 REPORT_INTERVAL_S = 0.02
-REPORT_AT_LEAST_S = 0.2
+REPORT_AT_LEAST_S = 0.1
 """A balancer that sent packets hears from the agent this often even without a change."""
 REPORTER_S = 1.0
 """Balancers and agents that sent packets within this time get load reports."""
+UNKNOWN_SLOTS = 16
+"""Until the upstream's entry is known nothing is held back: the upstream has a queue of its own."""
+HOLD_S = 1.2
+"""A client gives up an opening after 1.4 s; told 0.2 s earlier, it can try again in time."""
+HELD_LIMIT = 256
+"""Openings that one upstream can't run within ``HOLD_S`` at 5 ms a request."""
+SLOTS_PER_SPARE_REQUEST = 4
+"""A handshake takes about 5 ms, a tenth of a request: a quarter more than the slots covers it."""
 COPY_S = 0.15
 """A client copies its opening packet after 0.2 s: an agent silent until then has not taken it."""
 UNANSWERED_OPENING_S = 0.08
@@ -131,9 +140,10 @@
         self._choice = UpstreamChoice(seed=hash64(self.settings.process.encode()))
         self._deliveries: dict[int, _Delivery] = {}
         self._next_echo = 1
-        self._waiting_openings: dict[FlowKey, _Delivery] = {}
+        self._unanswered_openings: dict[FlowKey, _Delivery] = {}
         self._reporter_by_address: dict[str, _Reporter] = {}
         self._recorded_by_flow: dict[FlowKey, float] = {}
+        self._waiting: OpeningQueue[Envelope] = OpeningQueue(patience_s=HOLD_S, limit=HELD_LIMIT)
         self._is_upstream_silent = False
         self._is_upstream_down = False
         self._was_listed = False
@@ -199,7 +209,7 @@
     @property
     def _slots(self) -> int:
         entry = self.directory.entry(self.settings.address)
-        return 1 if entry is None else entry.slots
+        return UNKNOWN_SLOTS if entry is None else entry.slots
 
     # Packets from balancers and agents.
 
@@ -242,18 +252,76 @@
                 self._pass_on(envelope, taken_over_by, SearchStage.DIRECT)
                 return
             envelope = replace(envelope, tried=(taken_over_by,))
+        if packet.flow in self._waiting:
+            return  # a copy of a packet that waits for a free slot
         if self._flows.get(packet.flow) is None:
             reason = self._reason_to_hand_over(envelope)
             if reason is not None and self._hand_over(packet, envelope, reason, now):
                 return
             if reason not in (None, "busy"):
-                self._refuse(packet, reason or "", now)
+                self._refuse(packet, reason or "")
                 return
+            if self._flows.busy >= self._admission_limit:
+                self._hold(packet, envelope, now)
+                return
+        self._admit(packet, envelope, now)
+
+    def _admit(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
+        """Hand an opening packet to the upstream."""
         self._flows.expect(packet.flow, now)
         if envelope.hops:
             self._locate(packet.flow, envelope.entry_address)
         delivery = self._deliver(packet, envelope, now)
-        self._waiting_openings.setdefault(packet.flow, delivery)
+        self._unanswered_openings.setdefault(packet.flow, delivery)
+
+    @property
+    def _admission_limit(self) -> int:
+        """Requests that the upstream gets at once: a few above its slots cover the handshakes."""
+        return self._slots + max(1, self._slots // SLOTS_PER_SPARE_REQUEST)
+
+    def _hold(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
+        """Let an opening packet wait here, since all agents asked were busy."""
+        self.metrics.count("openings_held_total")
+        self.log.write(
+            Event.FLOW_HELD,
+            flow=flow_text(packet.flow),
+            waiting=len(self._waiting),
+            busy=self._flows.busy,
+            slots=self._slots,
+        )
+        displaced = self._waiting.put(packet.flow, envelope, now)
+        if displaced is not None:
+            self._reset(displaced.flow, 0, "queue_full")
+
+    def _release_held(self, now: float) -> None:
+        """Hand waiting packets to the upstream while it has room, the newest first."""
+        while self._waiting and self._can_take and self._flows.busy < self._admission_limit:
+            waiting = self._waiting.pop_newest()
+            if waiting is None:
+                return
+            packet = self.packet_codec.decode_from_client(waiting.item.raw)
+            self.metrics.observe("opening_wait_seconds", now - waiting.since)
+            self._admit(packet, waiting.item, now)
+
+    def _share_held(self, now: float) -> None:
+        """Pass waiting packets to agents that have become free, and refuse what waited too long."""
+        for waiting in self._waiting.expire(now):
+            self._reset(waiting.flow, 0, "queue_timeout")
+        while self._waiting:
+            others = self.directory.candidates(self._own_tag, now)
+            own = self.settings.address
+            if self._can_take:
+                agent = self._choice.choose_idle(others, now=now, excluded=(own,))
+            else:
+                agent = self._choice.choose(others, is_long=False, now=now, excluded=(own,))
+            waiting_newest = self._waiting.pop_newest() if agent is not None else None
+            if agent is None or waiting_newest is None:
+                return
+            envelope = replace(waiting_newest.item, tried=(own,))
+            self._choice.sent(agent, now)
+            self._handed_over.put(waiting_newest.flow, agent, now)
+            self.metrics.count("flows_handed_over_total", "waiting")
+            self._pass_on(envelope, agent, SearchStage.DIRECT)
 
     def _reason_to_hand_over(self, envelope: Envelope) -> str | None:
         if envelope.service_tag != self._own_tag:
@@ -378,7 +446,7 @@
         if self._is_upstream_silent or self._is_upstream_down:
             self._is_upstream_silent = self._is_upstream_down = False
             self.log.write(Event.UPSTREAM_STARTED, upstream=self._upstream_endpoint[0])
-        self._waiting_openings.pop(packet.flow, None)
+        self._unanswered_openings.pop(packet.flow, None)
         if packet.is_bounced:
             self._on_bounced(packet, now)
             return
@@ -387,6 +455,8 @@
             if entry_address is not None:
                 self._locate(packet.flow, entry_address)
         self._outputs.send(datagram, self.client_endpoint(packet.flow))
+        if self._waiting:
+            self._release_held(now)
 
     def _on_bounced(self, packet: FlowPacket, now: float) -> None:
         delivery = self._deliveries.get(packet.echo)
@@ -402,7 +472,7 @@
         if packet.is_opening:
             self._refuses_until = now + UPSTREAM_REFUSAL_S
             if not self._hand_over(packet, envelope, "refused_by_upstream", now):
-                self._refuse(packet, "refused_by_upstream", now)
+                self._refuse(packet, "refused_by_upstream")
         elif was_open:
             # The flow was open here and its upstream has lost it: no other one can have it.
             if not packet.is_reset:
@@ -410,7 +480,7 @@
         else:
             self._search_on(packet, envelope, now)
 
-    def _refuse(self, packet: FlowPacket, reason: str, _now: float) -> None:
+    def _refuse(self, packet: FlowPacket, reason: str) -> None:
         """Answer an opening packet that no agent takes; nothing has run."""
         self._reset(packet.flow, packet.acknowledged, reason)
 
@@ -422,9 +492,12 @@
 
     def _upkeep(self) -> None:
         now = self.loop.now()
-        for flow, delivery in list(self._waiting_openings.items()):
+        if self._waiting:
+            self._release_held(now)
+            self._share_held(now)
+        for flow, delivery in list(self._unanswered_openings.items()):
             if now - delivery.delivered_at > UNANSWERED_OPENING_S:
-                del self._waiting_openings[flow]
+                del self._unanswered_openings[flow]
                 self._on_unanswered(delivery, now)
         is_suspect = self._is_upstream_down or self._is_upstream_silent
         if is_suspect and now - self._probed_at > PROBE_AGAIN_S:
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -36,6 +36,8 @@
 """Above the idle time-out of flows; an older flow is found by a search."""
 AVOID_S = 1.0
 """How long an agent that left an opening packet unanswered gets no new flow."""
+COPY_S = 0.15
+"""A client copies its opening packet after 0.2 s; an agent reports its load sooner."""
 QUIET_S = 0.6
 """The fabric asks for readiness twice a second, so a balancer out of rotation is quiet by then."""
 MIN_STOP_S = 1.2
@@ -130,7 +132,10 @@
         known = self._agent_by_flow.get(packet.flow, now)
         excluded: tuple[str, ...] = ()
         if known is not None:
-            # A copy of an opening packet: the first agent has not answered within 0.2 s.
+            # A copy of an opening packet. An agent that has answered since has the first one.
+            if self._choice.silence_s(known, now) < COPY_S:
+                self._send(packet, known, tag, SearchStage.DIRECT, now)
+                return
             self._choice.avoid(known, now + AVOID_S)
             excluded = (known,)
         candidates = self.directory.candidates(tag, now)
--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -38,7 +38,7 @@
 """A connection takes 4 ms; a VM without power doesn't answer, and one that starts answers soon."""
 RETRY_S = 0.2
 """All processes start at once after a loss of power; the first seed that is up serves them."""
-UPKEEP_S = 0.1
+UPKEEP_S = 0.05
 
 
 class _PeerLink:
@@ -83,7 +83,9 @@
         self._on_change = on_change
         self._links: set[_PeerLink] = set()
         self._retry_at_by_seed: dict[str, float] = {}
-        self._rule = ReadingRule(process=settings.process, now=loop.now())
+        self._rule = ReadingRule(
+            process=settings.process, needs_view=settings.upstream is None, now=loop.now()
+        )
         self._reader = StoreReader(
             loop=loop,
             network=network,
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_client.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_client.py
@@ -41,6 +41,7 @@
         self.ended_at: float | None = None
         self._began_at = client.loop.now()
         self.opening_s = OPENING_ENDS_S
+        self.answered_at = 0.0
         self.answers: dict[bytes, bytes] = {}
         self._sent = 1
         self._acknowledged = 0
@@ -79,6 +80,7 @@
         elif packet.data_length and packet.sequence == self._acknowledged:
             self._acknowledged = (packet.sequence + packet.data_length) % (1 << 32)
             if self._current is not None:
+                self.answered_at = self._client.loop.now()
                 self.answers[self._current] = self._client.codec.data(packet.raw)
                 self._sent += len(self._current)
                 self._current = None
