Tell clients sooner that a flow is gone

The tests for this showed two more faults: a keeper's record and a balancer's memory that name an agent which has left sent the packet to a VM that is gone.

Change: such a search is repeated after 0.3 s; records and memories of agents that are no longer listed count only while the agent answers; a last packet that no upstream knows is answered with a reset; a held opening knows from its copy number how long its client has waited.

--- a/libs/flows/src/laburnumbridge/flows/flow_packet.py
+++ b/libs/flows/src/laburnumbridge/flows/flow_packet.py
@@ -20,7 +20,8 @@
 class FlowPacket:
     """One packet; ``raw`` is the datagram as it was received.
 
-    ``flow`` names the client's end first, whichever end sent the packet.
+    ``flow`` names the client's end first, whichever end sent the packet. ``copy_number`` is 0 for
+    the first opening packet of a flow and counts its copies.
     """
 
     flow: FlowKey
@@ -34,3 +35,4 @@
     acknowledged: int
     data_length: int
     echo: int
+    copy_number: int = 0
--- a/libs/flows/src/laburnumbridge/flows/opening_queue.py
+++ b/libs/flows/src/laburnumbridge/flows/opening_queue.py
@@ -42,9 +42,11 @@
     def __contains__(self, flow: FlowKey) -> bool:
         return flow in self._by_flow
 
-    def put(self, flow: FlowKey, item: T, now: float) -> WaitingOpening[T] | None:
-        """Add a packet; return the one that had to go for it."""
-        self._by_flow[flow] = WaitingOpening(flow=flow, item=item, since=now)
+    def put(
+        self, flow: FlowKey, item: T, now: float, *, waited_s: float = 0.0
+    ) -> WaitingOpening[T] | None:
+        """Add a packet whose client has waited ``waited_s``; return one that had to go for it."""
+        self._by_flow[flow] = WaitingOpening(flow=flow, item=item, since=now - waited_s)
         if len(self._by_flow) <= self._limit:
             return None
         return self._by_flow.pop(next(iter(self._by_flow)))
@@ -57,9 +59,9 @@
 
     def expire(self, now: float) -> list[WaitingOpening[T]]:
         """Remove and return the packets that have waited too long."""
-        expired = []
-        for flow, waiting in list(self._by_flow.items()):
-            if now - waiting.since <= self._patience_s:
-                break
-            expired.append(self._by_flow.pop(flow))
+        expired = [
+            waiting for waiting in self._by_flow.values() if now - waiting.since > self._patience_s
+        ]
+        for waiting in expired:
+            del self._by_flow[waiting.flow]
         return expired
--- /dev/null
+++ b/libs/flows/tests/test_opening_queue.py
@@ -0,0 +1,45 @@
+from __future__ import annotations
+
+import pytest
+
+from laburnumbridge.flows import FlowKey
+from laburnumbridge.flows import OpeningQueue
+
+
+def key(number: int) -> FlowKey:
+    return FlowKey(number.to_bytes(12, "big"))
+
+
+@pytest.fixture
+def queue() -> OpeningQueue[str]:
+    return OpeningQueue(patience_s=1.2, limit=3)
+
+
+class TestOrder:
+    def test_the_newest_comes_first(self, queue):
+        # Guards against a backlog that makes every later request late.
+        for number in range(3):
+            queue.put(key(number), str(number), float(number) / 10)
+        order = [queue.pop_newest().item for _ in range(3)]
+        assert order == ["2", "1", "0"]
+        assert queue.pop_newest() is None
+
+    def test_the_oldest_goes_when_it_is_full(self, queue):
+        # Guards against memory that grows with a flood of openings.
+        for number in range(3):
+            assert queue.put(key(number), str(number), 0.0) is None
+        displaced = queue.put(key(3), "3", 0.0)
+        assert displaced is not None
+        assert displaced.item == "0"
+        assert len(queue) == 3
+
+
+class TestPatience:
+    def test_a_packet_goes_when_its_client_is_about_to_give_up(self, queue):
+        # Guards against work for clients that have left.
+        queue.put(key(0), "first", 0.0)
+        queue.put(key(1), "second copy", 0.0, waited_s=0.6)
+        assert [waiting.item for waiting in queue.expire(0.7)] == ["second copy"]
+        assert key(0) in queue
+        assert [waiting.item for waiting in queue.expire(1.3)] == ["first"]
+        assert len(queue) == 0
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -69,6 +69,8 @@
 """Until the upstream's entry is known nothing is held back: the upstream has a queue of its own."""
 HOLD_S = 1.2
 """A client gives up an opening after 1.4 s; told 0.2 s earlier, it can try again in time."""
+WAITED_BY_COPY_S = (0.0, 0.2, 0.6)
+"""When a client sends its opening packet and the copies of it."""
 HELD_LIMIT = 256
 """Openings that one upstream can't run within ``HOLD_S`` at 5 ms a request."""
 SLOTS_PER_SPARE_REQUEST = 4
@@ -85,7 +87,10 @@
 SETTLED_S = 0.3
 """A search that found nothing counts only when the list of agents has not changed for so long;
 news reaches all processes within a tenth of it."""
+REPEATED_SEARCHES_LIMIT = 512
+"""Packets that wait for a second search; at 1.3 KB each they stay below a megabyte."""
 FRESH_VIEW_S = 5.0
+"""A watch of the platform confirms the view within 4 s."""
 STOP_WAIT_S = 0.3
 """A planned stop lets requests that are at work end; three times the mean time of one."""
 DELIVERIES_LIMIT = 4_096
@@ -140,6 +145,7 @@
         self._choice = UpstreamChoice(seed=hash64(self.settings.process.encode()))
         self._deliveries: dict[int, _Delivery] = {}
         self._next_echo = 1
+        self._searches_to_repeat = 0
         self._unanswered_openings: dict[FlowKey, _Delivery] = {}
         self._reporter_by_address: dict[str, _Reporter] = {}
         self._recorded_by_flow: dict[FlowKey, float] = {}
@@ -289,7 +295,8 @@
             busy=self._flows.busy,
             slots=self._slots,
         )
-        displaced = self._waiting.put(packet.flow, envelope, now)
+        copies = min(packet.copy_number, len(WAITED_BY_COPY_S) - 1)
+        displaced = self._waiting.put(packet.flow, envelope, now, waited_s=WAITED_BY_COPY_S[copies])
         if displaced is not None:
             self._reset(displaced.flow, 0, "queue_full")
 
@@ -373,7 +380,9 @@
             agent = self._handed_over.get(packet.flow, now)
             if envelope.stage is not SearchStage.RECORDED:
                 agent = agent or self._records.get(packet.flow, now)
-            if agent is not None and agent != self.settings.address:
+            if agent != self.settings.address and agent in self.directory.ranking(
+                envelope.service_tag
+            ):
                 self._pass_on(envelope, agent, SearchStage.RECORDED)
                 return
         if self._is_upstream_down:
@@ -403,15 +412,30 @@
         self._end_search(packet, envelope, now)
 
     def _end_search(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
-        """No agent holds the flow: tell the client, if this process can be sure of that."""
+        """No agent holds the flow: tell the client, if this process can be sure of that.
+
+        Otherwise search once more a little later: the client sends its packet again only after
+        up to 1.6 s.
+        """
         age_s = self.view.catalog.confirmed_age_s(now)
         is_settled = now - self.directory.agents_changed_at > SETTLED_S
-        if packet.is_reset or packet.is_final:
+        if packet.is_reset:
             self.drop("flow_over", flow=flow_text(packet.flow), hops=envelope.hops)
-        elif age_s is None or age_s > FRESH_VIEW_S or not is_settled:
-            self.drop("not_found_yet", flow=flow_text(packet.flow), hops=envelope.hops)
-        else:
+        elif age_s is not None and age_s <= FRESH_VIEW_S and is_settled:
             self._reset(packet.flow, packet.acknowledged, "not_found")
+        elif self._searches_to_repeat < REPEATED_SEARCHES_LIMIT:
+            self._searches_to_repeat += 1
+            self.loop.call_later(SETTLED_S, lambda: self._repeat_search(packet, envelope))
+        else:
+            self.drop("not_found_yet", flow=flow_text(packet.flow), hops=envelope.hops)
+
+    def _repeat_search(self, packet: FlowPacket, envelope: Envelope) -> None:
+        self._searches_to_repeat -= 1
+        if envelope.hops >= MAX_HOPS:
+            self.drop("hops", flow=flow_text(packet.flow))
+            return
+        again = replace(envelope, stage=SearchStage.RECORDED)
+        self._search_on(packet, again, self.loop.now())
 
     def _pass_on(self, envelope: Envelope, agent: str, stage: SearchStage) -> None:
         passed = replace(envelope, hops=min(envelope.hops + 1, 255), stage=stage)
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -37,7 +37,7 @@
 AVOID_S = 1.0
 """How long an agent that left an opening packet unanswered gets no new flow."""
 COPY_S = 0.15
-"""A client copies its opening packet after 0.2 s; an agent reports its load sooner."""
+"""A client sends a packet again after 0.2 s; an agent reports its load sooner."""
 QUIET_S = 0.6
 """The fabric asks for readiness twice a second, so a balancer out of rotation is quiet by then."""
 MIN_STOP_S = 1.2
@@ -165,11 +165,13 @@
 
     def _forward(self, packet: FlowPacket, route: Route, now: float) -> None:
         tag = self._tag(route, packet.flow)
+        ranking = self.directory.ranking(tag)
         agent = self._agent_by_flow.touch(packet.flow, now)
-        if agent is not None:
+        if agent is not None and (agent in ranking or self._choice.silence_s(agent, now) < COPY_S):
             self._send(packet, agent, tag, SearchStage.DIRECT, now)
             return
-        agent = self.directory.ranking(tag).first(packet.flow)
+        # Unknown here, or at an agent that is no longer listed and doesn't answer.
+        agent = ranking.first(packet.flow)
         if agent is None:
             self.drop("no_agent", flow=flow_text(packet.flow), route=route.name)
             return
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -228,6 +228,42 @@
         assert flow.answers
 
 
+class TestSearch:
+    def test_a_search_that_ends_too_early_is_repeated(self, fleet):
+        # Guards against clients that wait for their next retransmission, up to 1.6 s, because the
+        # agents had just changed when their packet came: 217 packets of one played day.
+        flow = fleet.client.open_flow(SERVICE)
+        flow.request(b"first")
+        fleet.world.run_for(1.0)
+        holder = fleet.holder(flow.key)
+        fleet.kill(holder)
+        fleet.upstream_by_address[holder].crash()
+        fleet.platform.remove(f"up-{holder}")
+        fleet.world.run_for(0.05)
+        fleet.rotation = [fleet.start_balancer("10.1.0.9")]
+        fleet.world.run_for(0.2)
+        flow.request(b"second")
+        fleet.world.run_for(0.19)
+        assert fleet.lines(Event.FLOW_SEARCHED)
+        fleet.world.run_for(0.25)
+        assert flow.was_reset
+
+    def test_the_flows_of_an_agent_that_left_are_searched_and_reset(self, fleet):
+        # Guards against a balancer that sends a flow's packets to a VM that is gone until the client
+        # gives up.
+        flow = fleet.client.open_flow(SERVICE)
+        flow.request(b"first")
+        fleet.world.run_for(1.0)
+        holder = fleet.holder(flow.key)
+        fleet.kill(holder)
+        fleet.upstream_by_address[holder].crash()
+        fleet.platform.remove(f"up-{holder}")
+        fleet.world.run_for(0.5)
+        flow.request(b"second")
+        fleet.world.run_for(0.5)
+        assert flow.was_reset
+
+
 class TestConfiguration:
     def test_a_flow_of_a_removed_route_is_reset(self, fleet):
         # Guards against flows that go on after their route was removed.
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -177,6 +177,12 @@
         self.process_by_address[address] = process
         self.log_by_address[address] = log
 
+    def start_balancer(self, address: str) -> str:
+        """Add a balancer to the fleet, outside the rotation, and return its address."""
+        self.balancers.append(address)
+        self.start_process(address)
+        return address
+
     def kill(self, address: str) -> None:
         """End the process at ``address`` as SIGKILL does."""
         self.process_by_address[address].close()
--- a/libs/standins/src/laburnumbridge/standins/flows/stand_in_packets.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/stand_in_packets.py
@@ -73,6 +73,7 @@
             acknowledged=acknowledged,
             data_length=length,
             echo=echo,
+            copy_number=acknowledged if flags & _OPENING else 0,
         )
 
     def with_echo(self, raw: bytes, echo: int) -> bytes:
