Explain a flow from the logs of several processes, and check its settings

Cause: whoever is asked about a failed request on the platform has only logs and metrics, and the existing explain asks live processes of the QUIC path.

--- a/libs/cli/src/laburnumbridge/cli/application.py
+++ b/libs/cli/src/laburnumbridge/cli/application.py
@@ -16,6 +16,8 @@
 from laburnumbridge.cli.commands.bench_command import BenchCommand
 from laburnumbridge.cli.commands.check_command import CheckCommand
 from laburnumbridge.cli.commands.explain_command import ExplainCommand
+from laburnumbridge.cli.commands.flow_check_command import FlowCheckCommand
+from laburnumbridge.cli.commands.flow_explain_command import FlowExplainCommand
 from laburnumbridge.cli.commands.report_burn_command import ReportBurnCommand
 from laburnumbridge.cli.commands.report_burn_command import ReportFormat
 from laburnumbridge.cli.commands.status_command import StatusCommand
@@ -37,6 +39,8 @@
 )
 report = typer.Typer(help="Reports over the whole fleet.", rich_markup_mode=None)
 application.add_typer(report, name="report")
+flow = typer.Typer(help="Processes that forward flows without ending them.", rich_markup_mode=None)
+application.add_typer(flow, name="flow")
 
 
 @application.command()
@@ -166,6 +170,24 @@
     ReportBurnCommand(opener=opener, report_format=report_format, html=html).run()
 
 
+@flow.command("explain")
+def explain_flow(
+    flow_id: Annotated[
+        str, typer.Argument(metavar="FLOW", help="The flow, as CLIENT:PORT>SERVICE:PORT.")
+    ],
+    log: Annotated[list[Path], typer.Option(help="Standard output of a process; may be repeated.")],
+    as_json: options.Json = False,
+) -> None:
+    """Join what the logs of several processes say about one flow."""
+    FlowExplainCommand(flow=flow_id, logs=log, as_json=as_json).run()
+
+
+@flow.command("check")
+def check_flow_settings(settings: options.SettingsFile) -> None:
+    """Check the settings of a process that forwards flows."""
+    FlowCheckCommand(settings=settings).run()
+
+
 @application.command()
 def bench(
     output: Annotated[
--- a/libs/cli/src/laburnumbridge/cli/errors.py
+++ b/libs/cli/src/laburnumbridge/cli/errors.py
@@ -113,3 +113,15 @@
         )
         self.subject = subject
         self.silent = silent
+
+
+class FlowNotLoggedError(LaburnumbridgeError):
+    """No line of the given logs names the flow."""
+
+    def __init__(self, *, flow: str, logs: int) -> None:
+        super().__init__(
+            f"no line of {logs} logs names flow {flow!r}; its id is "
+            "CLIENT:PORT>SERVICE:PORT, and the logs of all balancers and agents are needed"
+        )
+        self.flow = flow
+        self.logs = logs
--- /dev/null
+++ b/libs/cli/src/laburnumbridge/cli/flow_explanation.py
@@ -0,0 +1,73 @@
+"""What the logs of several processes say about one flow."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+CONTEXT_S = 5.0
+"""A change of the view this long before or after a line of the flow may be its cause."""
+_HEAD = frozenset(
+    {"timestamp", "monotonic", "process", "event", "number", "level", "outcome", "flow"}
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoggedDecision:
+    """One line of a log; ``at`` is in seconds since the epoch."""
+
+    at: float
+    process: str
+    number: int
+    event: str
+    outcome: str
+    fields: dict[str, Any]
+
+
+def explain_flow(flow: str, lines: Iterable[bytes]) -> list[LoggedDecision]:
+    """Return the decisions about ``flow`` and about the agents that they name, oldest first.
+
+    A line that isn't a JSON object of the log is passed over, so that whole files of standard
+    output can be given.
+    """
+    parsed = [line for text in lines if (line := _parse(text)) is not None]
+    about = [line for line in parsed if line.fields.get("flow") == flow]
+    if not about:
+        return []
+    agents = {line.fields[name] for line in about for name in ("agent",) if name in line.fields}
+    first = min(line.at for line in about) - CONTEXT_S
+    last = max(line.at for line in about) + CONTEXT_S
+    context = [
+        line
+        for line in parsed
+        if "flow" not in line.fields
+        and first <= line.at <= last
+        and agents & {line.fields.get("agent"), line.fields.get("upstream")}
+    ]
+    return sorted([*about, *context], key=lambda line: (line.at, line.process))
+
+
+def _parse(text: bytes) -> LoggedDecision | None:
+    start = text.find(b"{")
+    if start < 0:
+        return None
+    try:
+        line = msgspec.json.decode(text[start:], type=dict[str, Any])
+        return LoggedDecision(
+            at=float(line["timestamp"]),
+            process=str(line["process"]),
+            number=int(line["number"]),
+            event=str(line["event"]),
+            outcome=str(line.get("outcome") or ""),
+            fields={
+                name: value for name, value in line.items() if name not in _HEAD or name == "flow"
+            },
+        )
+    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+        return None
--- a/libs/flows/src/laburnumbridge/flows/agent_ranking.py
+++ b/libs/flows/src/laburnumbridge/flows/agent_ranking.py
@@ -26,7 +26,7 @@
     def __len__(self) -> int:
         return len(self._prefix_by_agent)
 
-    def __contains__(self, agent: str | None) -> bool:
+    def __contains__(self, agent: str) -> bool:
         return agent in self._prefix_by_agent
 
     @property
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -380,9 +380,8 @@
             agent = self._handed_over.get(packet.flow, now)
             if envelope.stage is not SearchStage.RECORDED:
                 agent = agent or self._records.get(packet.flow, now)
-            if agent != self.settings.address and agent in self.directory.ranking(
-                envelope.service_tag
-            ):
+            ranking = self.directory.ranking(envelope.service_tag)
+            if agent is not None and agent != self.settings.address and agent in ranking:
                 self._pass_on(envelope, agent, SearchStage.RECORDED)
                 return
         if self._is_upstream_down:
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -249,7 +249,7 @@
         assert flow.was_reset
 
     def test_the_flows_of_an_agent_that_left_are_searched_and_reset(self, fleet):
-        # Guards against a balancer that sends a flow's packets to a VM that is gone until the client
+        # Guards against a balancer that sends packets to a VM that is gone until the client
         # gives up.
         flow = fleet.client.open_flow(SERVICE)
         flow.request(b"first")
