Keep the adapter's tests outside a folder named platform

Cause: pytest's importlib mode registers the folder platform/ as a module, which hides the standard library's platform module when those tests are collected first.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LIBRARIES := core lists routing placement admission limits requests membership configuration \
 	wire telemetry settings runtime cli standins flows catalog forwarding
 EDITABLE := $(foreach name,$(LIBRARIES),-e libs/$(name)) -e platform
-SOURCES := libs platform scenarios packaging
+SOURCES := libs platform tests scenarios packaging
 PROTO := libs/wire/src/laburnumbridge/wire/control.proto
 
 .PHONY: setup format lint test bench capacity demo proto dist soak clean
--- /dev/null
+++ b/tests/adapter/test_deploy_files.py
@@ -0,0 +1,104 @@
+from __future__ import annotations
+
+import json
+import re
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
+
+ROOT = Path(__file__).parents[2]
+DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+
+PLATFORM_FIELDS = {
+    "node_name": "edge-1",
+    "ip": "10.1.0.10",
+    "zone": "north",
+    "internal_port_range": [7720, 7735],
+    "seeds": ["10.1.0.10:8166", "10.2.0.40:8166"],
+    "listen": {"datagram_addr": "10.1.0.10:8172", "ready": "10.1.0.10:8167"},
+    "bounds": {"flow_max_s": 60, "grace_s": 6},
+    "platform": {"address": "10.200.1.7:8169"},
+}
+
+
+def look_up(fields: dict, name: str) -> object:
+    value: object = fields
+    for part in name.split("."):
+        if isinstance(value, list):
+            value = value[int(part)]
+        elif isinstance(value, dict):
+            value = value.get(part)
+        else:
+            return None
+    return value
+
+
+def render(template: str, fields: dict) -> str:
+    """Fill in the parts of the platform's template language that the project uses."""
+
+    def section(match: re.Match[str]) -> str:
+        return match[2] if look_up(fields, match[1]) else ""
+
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.DOTALL)
+    text = re.sub(r"\{\{([\w.]+)\|json\}\}", lambda m: json.dumps(look_up(fields, m[1])), text)
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda m: str(look_up(fields, m[1])), text)
+
+
+class TestTemplate:
+    @pytest.fixture
+    def load(self, tmp_path):
+        def load(fields):
+            template = (ROOT / "deploy" / "settings.json.tmpl").read_text()
+            path = tmp_path / "settings.json"
+            path.write_text(render(template, fields))
+            return load_forwarding_settings(path)
+
+        return load
+
+    def test_a_balancer(self, load):
+        # Guards against a template whose result isn't the product's settings.
+        listen = {**PLATFORM_FIELDS["listen"], "control": "10.1.0.10:8166"}
+        settings = load({**PLATFORM_FIELDS, "listen": listen})
+        assert settings.upstream is None
+        assert settings.control_endpoint in settings.seeds
+        assert (settings.peer_port, settings.packet_port) == (7720, 8172)
+
+    def test_an_agent(self, load):
+        # Guards against an agent that doesn't know its upstream.
+        listen = {**PLATFORM_FIELDS["listen"], "outbound": "10.1.0.12:8162"}
+        fields = {**PLATFORM_FIELDS, "listen": listen, "app": "10.1.0.12:8165", "service": "desk"}
+        settings = load(fields)
+        assert settings.control_endpoint is None
+        assert settings.upstream is not None
+        assert settings.upstream.output_endpoint == "10.1.0.12:8162"
+
+
+class TestDeployFile:
+    def test_each_role_starts_a_known_one(self):
+        # Guards against a role whose command doesn't exist.
+        for name, role in DEPLOY["roles"].items():
+            assert role["run"].split()[-1] == name
+            assert (ROOT / role["template"]).is_file()
+
+    def test_the_metrics_port_is_the_templates(self):
+        # Guards against metrics that are fetched where nobody serves them.
+        template = (ROOT / "deploy" / "settings.json.tmpl").read_text()
+        for role in DEPLOY["roles"].values():
+            port, _, path = role["metrics"].partition("/")
+            assert f'"metrics_port": {port}' in template
+            assert path == "metrics"
+
+    def test_requirements_are_the_pinned_versions(self):
+        # Guards against versions on the platform that no test has run with.
+        pinned = set((ROOT / "constraints.txt").read_text().splitlines())
+        required = (ROOT / "deploy" / "requirements.txt").read_text().splitlines()
+        assert set(required) <= pinned
+
+    def test_the_build_copies_every_library_that_the_roles_import(self):
+        # Guards against a build that lacks a library which only the development set-up has.
+        build = (ROOT / "deploy" / "build.sh").read_text()
+        for library in ("libs/core", "libs/flows", "libs/catalog", "libs/forwarding", "platform"):
+            assert library in build
