--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -100,7 +100,7 @@
             elif kind == DatagramKind.LOCATED:
                 located = decode_flows(datagram)
                 for flow in located.flows:
-                    self._agent_by_flow.put(flow, located.agent_address, now)
+                    self.locate(flow, located.agent_address)
             else:
                 raise MalformedPeerDatagramError(reason=f"kind {kind}", size=len(datagram))
         except MalformedPeerDatagramError as error:
@@ -108,6 +108,10 @@
             return
         self._choice.heard(sender[0])
 
+    def locate(self, flow: FlowKey, agent: str) -> None:
+        """Remember that ``flow`` is open at ``agent``."""
+        self._agent_by_flow.put(flow, agent, self.loop.now())
+
     def _on_client_datagram(self, datagram: bytes, sender: Endpoint) -> None:
         now = self.loop.now()
         self._last_packet_at = now
--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -128,6 +128,10 @@
         """Use the seeds of changed settings."""
         self._settings = settings
 
+    def take(self, update: CatalogUpdate) -> None:
+        """Take in news that comes neither from the platform nor from a peer."""
+        self._spread(self.catalog.merge(update, self._loop.now()), None)
+
     def _upkeep(self) -> None:
         now = self._loop.now()
         for link in list(self._links):
--- a/libs/standins/src/laburnumbridge/standins/benchmarks/forwarding.py
+++ b/libs/standins/src/laburnumbridge/standins/benchmarks/forwarding.py
@@ -34,18 +34,23 @@
         """Measure relay and balancer."""
         relay: list[float] = []
         balancer: list[float] = []
+        flows: list[float] = []
         for _ in range(ROUNDS):
             relay.append(self._measure("relay"))
             balancer.append(self._measure("balancer"))
+            flows.append(self._measure("flow-balancer", "--flows"))
         baseline = sorted(relay)[ROUNDS // 2]
         forwarded = sorted(balancer)[ROUNDS // 2]
+        flow_forwarded = sorted(flows)[ROUNDS // 2]
         return {
             "relay_baseline_pps": round(baseline),
             "balancer_pps": round(forwarded),
             "balancer_pps_ratio": round(forwarded / baseline, 3),
+            "forward_pps": round(flow_forwarded),
+            "forward_pps_ratio": round(flow_forwarded / baseline, 3),
         }
 
-    def _measure(self, role: str) -> float:
+    def _measure(self, role: str, *generator_options: str) -> float:
         host = f"127.9.{os.getpid() % 200}.1"
         sink = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sink.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES)
@@ -55,7 +60,8 @@
         target = f"{host}:{sink.getsockname()[1]}"
         seconds = str(2 * WARM_UP_S + WINDOW_S)
         forwarder = subprocess.Popen([sys.executable, "-m", _MODULE, role, listen, target])
-        generator = subprocess.Popen([sys.executable, "-m", _MODULE, "generate", listen, seconds])
+        generate = [sys.executable, "-m", _MODULE, "generate", listen, seconds]
+        generator = subprocess.Popen([*generate, *generator_options])
         try:
             self._count(sink, WARM_UP_S, wait_first=True)
             return self._count(sink, WINDOW_S) / WINDOW_S
--- a/libs/standins/src/laburnumbridge/standins/benchmarks/forwarding_target.py
+++ b/libs/standins/src/laburnumbridge/standins/benchmarks/forwarding_target.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from typing import Annotated
 
 import typer
 import uvloop
@@ -18,6 +19,8 @@
 from laburnumbridge.routing import RoutingToken
 from laburnumbridge.routing import TokenCodec
 from laburnumbridge.runtime.balancer_forwarder import BalancerForwarder
+from laburnumbridge.standins.benchmarks.flow_balancer_target import make_flow_packets
+from laburnumbridge.standins.benchmarks.flow_balancer_target import serve_flow_balancer
 from laburnumbridge.wire import Encapsulation
 from laburnumbridge.wire import Endpoint
 
@@ -96,12 +99,24 @@
     await asyncio.Event().wait()
 
 
+@application.command("flow-balancer")
+def flow_balancer(listen: str, target: str) -> None:
+    """Forward packets of known flows to agents that are all at one address."""
+    serve_flow_balancer(
+        listen=listen, target=target, packets=[packet for _, packet in make_flow_packets()]
+    )
+
+
 @application.command()
-def generate(target: str, seconds: float) -> None:
+def generate(
+    target: str,
+    seconds: float,
+    flows: Annotated[bool, typer.Option(help="Packets of flows, not of QUIC.")] = False,
+) -> None:
     """Send packets as fast as one thread can, for a bounded time."""
     destination = tuple(Endpoint.parse(target))
     sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(_SOCKETS)]
-    packets = make_packets(100)
+    packets = [packet for _, packet in make_flow_packets()] if flows else make_packets(100)
     until = time.monotonic() + seconds
     while time.monotonic() < until:
         for index, packet in enumerate(packets):
