Send changes of the configuration to peers, not the whole of it

Ruled out: the listing by the readers (three of them, 100 KB each).

Change: what a newer configuration changes is passed on as a change of a base version; a process that lacks the base asks for the whole, as does one that hears of a newer version. Time-outs and health paths aren't kept, since no decision uses them.

Measured: the test of the bytes of ten changes fails before; tests of missed changes and of a connection lost while news spreads pass.

--- a/libs/catalog/src/laburnumbridge/catalog/__init__.py
+++ b/libs/catalog/src/laburnumbridge/catalog/__init__.py
@@ -13,6 +13,7 @@
 from laburnumbridge.catalog.platform_codec import PlatformRefusedError
 from laburnumbridge.catalog.read_plan import ReadPlan
 from laburnumbridge.catalog.records import CatalogUpdate
+from laburnumbridge.catalog.records import ConfigurationChange
 from laburnumbridge.catalog.records import Route
 from laburnumbridge.catalog.records import RoutingConfiguration
 from laburnumbridge.catalog.records import ServiceShare
@@ -25,6 +26,7 @@
 __all__ = [
     "Catalog",
     "CatalogUpdate",
+    "ConfigurationChange",
     "HistoryLostError",
     "Listing",
     "MalformedAnswerError",
--- a/libs/catalog/src/laburnumbridge/catalog/catalog.py
+++ b/libs/catalog/src/laburnumbridge/catalog/catalog.py
@@ -5,12 +5,15 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from laburnumbridge.catalog.configuration_changes import changed_configuration
+from laburnumbridge.catalog.configuration_changes import configuration_change
 from laburnumbridge.catalog.records import CatalogUpdate
 from laburnumbridge.catalog.records import UpstreamRemoval
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from laburnumbridge.catalog.records import ConfigurationChange
     from laburnumbridge.catalog.records import RoutingConfiguration
     from laburnumbridge.catalog.records import UpstreamEntry
 
@@ -35,6 +38,11 @@
         self._removal_by_name: dict[str, tuple[UpstreamRemoval, float]] = {}
         self._held_by_name: dict[str, tuple[UpstreamRemoval, float]] = {}
 
+    @property
+    def configuration_version(self) -> int:
+        """Version in force, 0 without one."""
+        return 0 if self.configuration is None else self.configuration.version
+
     @property
     def is_ready(self) -> bool:
         """True once routes and at least one upstream are known."""
@@ -66,13 +74,7 @@
                 self._held_by_name[removal.name] = (removal, hold_removals_until)
             elif self._merge_removal(removal, now):
                 removals.append(removal)
-        configuration = update.configuration
-        if configuration is not None and (
-            self.configuration is None or configuration.version > self.configuration.version
-        ):
-            self.configuration = configuration
-        else:
-            configuration = None
+        configuration, change, is_lacking = self._merge_configuration(update)
         return CatalogUpdate(
             revision=self.revision,
             confirmed_age_ms=update.confirmed_age_ms,
@@ -80,6 +82,8 @@
             entries=entries,
             removals=tuple(removals),
             configuration=configuration,
+            configuration_change=change,
+            lacks_configuration=is_lacking,
         )
 
     def release_held(self, now: float) -> CatalogUpdate:
@@ -116,8 +120,29 @@
             revision=self.revision,
             confirmed_age_ms=None if age_s is None else int(age_s * 1000),
             confirmed_by=self.confirmed_by,
+            configuration_version=self.configuration_version,
         )
 
+    def _merge_configuration(
+        self, update: CatalogUpdate
+    ) -> tuple[RoutingConfiguration | None, ConfigurationChange | None, bool]:
+        """Return a first configuration, or the change to a newer one, or that a part is missing."""
+        in_force = self.configuration
+        change = update.configuration_change
+        if update.configuration is not None:
+            if in_force is None:
+                self.configuration = update.configuration
+                return update.configuration, None, False
+            if update.configuration.version > in_force.version:
+                self.configuration = update.configuration
+                return None, configuration_change(in_force, update.configuration), False
+        if change is not None and change.version > self.configuration_version:
+            if in_force is None or change.base_version != in_force.version:
+                return None, None, True
+            self.configuration = changed_configuration(in_force, change)
+            return None, change, False
+        return None, None, update.configuration_version > self.configuration_version
+
     def _merge_entry(self, entry: UpstreamEntry) -> bool:
         known = self.entry_by_name.get(entry.name)
         if known is not None and known.revision >= entry.revision:
--- a/libs/catalog/src/laburnumbridge/catalog/records.py
+++ b/libs/catalog/src/laburnumbridge/catalog/records.py
@@ -57,17 +57,26 @@
     shares: tuple[ServiceShare, ...]
     is_retryable: bool
     is_download: bool
-    timeout_ms: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoutingConfiguration:
-    """All routes at one version."""
+    """All routes at one version; ``idle_timeout_ms`` is how long a flow may be idle."""
 
     version: int
     routes: tuple[Route, ...]
     idle_timeout_ms: int
-    health_path_by_service: dict[str, str]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationChange:
+    """What turns the configuration of ``base_version`` into that of ``version``."""
+
+    base_version: int
+    version: int
+    changed: tuple[Route, ...]
+    removed: tuple[str, ...]
+    idle_timeout_ms: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -77,7 +86,8 @@
     ``revision`` is the newest revision that the changes come from, ``confirmed_age_ms`` how long
     ago the platform last confirmed to ``confirmed_by`` what the sender holds (None: never). An
     update without changes is a heartbeat; it raises the receiver's revision only when
-    ``is_own_reading`` says that the receiver itself read the platform.
+    ``is_own_reading`` says that the receiver itself read the platform. ``configuration_version`` is
+    the sender's, 0 without one; a sender that can't apply a change ``lacks_configuration``.
     """
 
     revision: int
@@ -87,8 +97,13 @@
     entries: tuple[UpstreamEntry, ...] = field(default=())
     removals: tuple[UpstreamRemoval, ...] = field(default=())
     configuration: RoutingConfiguration | None = None
+    configuration_change: ConfigurationChange | None = None
+    configuration_version: int = 0
+    lacks_configuration: bool = False
 
     @property
     def has_changes(self) -> bool:
         """True unless the update is only a heartbeat."""
-        return bool(self.entries or self.removals or self.configuration)
+        return bool(
+            self.entries or self.removals or self.configuration or self.configuration_change
+        )
--- a/libs/catalog/tests/test_catalog.py
+++ b/libs/catalog/tests/test_catalog.py
@@ -6,7 +6,9 @@
 
 from laburnumbridge.catalog import Catalog
 from laburnumbridge.catalog import CatalogUpdate
+from laburnumbridge.catalog import Route
 from laburnumbridge.catalog import RoutingConfiguration
+from laburnumbridge.catalog import ServiceShare
 from laburnumbridge.catalog import UpstreamEntry
 from laburnumbridge.catalog import UpstreamRemoval
 
@@ -29,12 +31,21 @@
     return CatalogUpdate(**{**values, **fields})
 
 
-def configuration(version: int) -> RoutingConfiguration:
-    return RoutingConfiguration(
-        version=version, routes=(), idle_timeout_ms=1, health_path_by_service={}
+def route(name: str, port: int = 443) -> Route:
+    return Route(
+        name=name,
+        address="198.18.0.1",
+        port=port,
+        shares=(ServiceShare(service="desk", weight=1),),
+        is_retryable=True,
+        is_download=False,
     )
 
 
+def configuration(version: int, *routes: Route) -> RoutingConfiguration:
+    return RoutingConfiguration(version=version, routes=routes, idle_timeout_ms=version)
+
+
 @pytest.fixture
 def catalog():
     catalog = Catalog()
@@ -104,3 +115,44 @@
         assert other.entry_by_name == catalog.entry_by_name == {}
         assert other.configuration == catalog.configuration
         assert not other.merge(update(entries=(ENTRY,)), 1.0).has_changes
+
+
+class TestConfigurationChange:
+    def test_a_newer_configuration_is_passed_on_as_a_change(self, catalog):
+        # Guards against 100 KB to each peer for one route: a storm of 25 changes carried 800 MB.
+        catalog.merge(update(configuration=configuration(8, route("a"), route("b"))), 0.0)
+        newer = configuration(9, route("b", 444), route("c"))
+        change = catalog.merge(update(configuration=newer), 0.0).configuration_change
+        assert change is not None
+        assert [one.name for one in change.changed] == ["b", "c"]
+        assert change.removed == ("a",)
+
+    def test_a_change_makes_the_same_configuration(self, catalog):
+        # Guards against processes whose routes differ at the same version.
+        other = Catalog()
+        other.merge(catalog.snapshot(0.0), 0.0)
+        newer = configuration(9, route("b"), route("c"))
+        news = catalog.merge(update(configuration=newer), 0.0)
+        other.merge(news, 0.0)
+        assert other.configuration == newer
+
+    def test_a_change_of_another_base_is_asked_for_in_full(self, catalog):
+        # Guards against routes that are missing because a change was missed.
+        other = Catalog()
+        other.merge(catalog.snapshot(0.0), 0.0)
+        catalog.merge(update(configuration=configuration(9, route("b"))), 0.0)
+        news = catalog.merge(update(configuration=configuration(12, route("b"), route("c"))), 0.0)
+        assert other.merge(news, 0.0).lacks_configuration
+        assert other.configuration_version == 7
+
+    def test_an_old_change_is_ignored(self, catalog):
+        # Guards against a second source that brings an older version into force.
+        news = catalog.merge(update(configuration=configuration(9, route("b"))), 0.0)
+        answer = catalog.merge(news, 0.0)
+        assert not answer.has_changes
+        assert not answer.lacks_configuration
+
+    def test_a_peer_with_a_newer_version_is_noticed(self, catalog):
+        # Guards against a process that missed a change and waits for the next one.
+        assert catalog.merge(update(configuration_version=9), 0.0).lacks_configuration
+        assert not catalog.merge(update(configuration_version=7), 0.0).lacks_configuration
--- a/libs/catalog/tests/test_read_plan.py
+++ b/libs/catalog/tests/test_read_plan.py
@@ -27,9 +27,7 @@
     revision=5,
 )
 OTHER = replace(ENTRY, name="up-2", address="10.0.0.2")
-CONFIGURATION = RoutingConfiguration(
-    version=7, routes=(), idle_timeout_ms=1, health_path_by_service={}
-)
+CONFIGURATION = RoutingConfiguration(version=7, routes=(), idle_timeout_ms=1)
 
 
 @pytest.fixture
--- a/libs/catalog/tests/test_routes.py
+++ b/libs/catalog/tests/test_routes.py
@@ -17,7 +17,6 @@
         shares=tuple(ServiceShare(service=name, weight=weight) for name, weight in shares),
         is_retryable=True,
         is_download=False,
-        timeout_ms=1,
     )
 
 
@@ -31,9 +30,7 @@
         # Guards against packets of one service that reach another one.
         one = route(("desk", 1))
         index = RouteIndex(
-            configuration=RoutingConfiguration(
-                version=1, routes=(one,), idle_timeout_ms=1, health_path_by_service={}
-            )
+            configuration=RoutingConfiguration(version=1, routes=(one,), idle_timeout_ms=1)
         )
         assert index.find(flow(1)) is one
         assert index.find(flow(1, port=444)) is None
--- a/libs/catalog/tests/test_update_codec.py
+++ b/libs/catalog/tests/test_update_codec.py
@@ -44,11 +44,9 @@
                 shares=(ServiceShare(service="desk", weight=1),),
                 is_retryable=True,
                 is_download=False,
-                timeout_ms=3_000,
             ),
         ),
         idle_timeout_ms=15_000,
-        health_path_by_service={"desk": "/healthz"},
     ),
 )
 
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -52,8 +52,9 @@
 
     def apply(self, update: CatalogUpdate, now: float) -> None:
         """Rebuild what ``update``, already merged into the catalog, has changed."""
-        if update.configuration is not None:
-            self._routes = RouteIndex(configuration=update.configuration)
+        configuration = self._catalog.configuration
+        if configuration is not None and (update.configuration or update.configuration_change):
+            self._routes = RouteIndex(configuration=configuration)
         for entry in update.entries:
             self._warm_at_by_name[entry.name] = now + entry.warm_up_left_ms / 1000
         for removal in update.removals:
--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -38,6 +38,8 @@
 """A connection takes 4 ms; a VM without power doesn't answer, and one that starts answers soon."""
 RETRY_S = 0.2
 """All processes start at once after a loss of power; the first seed that is up serves them."""
+SNAPSHOT_INTERVAL_S = 0.5
+"""A view with 1,300 routes has 100 KB; a peer that lags gets it at most this often."""
 UPKEEP_S = 0.05
 
 
@@ -51,7 +53,7 @@
         self.is_connected = not is_outgoing
         self.is_greeted = False
         self.heard_at = now
-        self.snapshot_at = -HEARTBEAT_S
+        self.snapshot_at = -SNAPSHOT_INTERVAL_S
         self.updates = UpdateStream()
 
 
@@ -212,14 +214,26 @@
         now = self._loop.now()
         if update.confirmed_age_ms is not None:
             self._rule.on_confirmed(update.confirmed_by, update.confirmed_age_ms / 1000, now)
-        if update.revision < self.catalog.revision and now - link.snapshot_at > HEARTBEAT_S:
+        is_behind = update.revision < self.catalog.revision or update.lacks_configuration
+        if is_behind and now - link.snapshot_at > SNAPSHOT_INTERVAL_S:
             link.snapshot_at = now
-            self._send(link, self.catalog.snapshot(now))
+            self._send(link, self._snapshot_for(update, now))
         elif not link.is_greeted and not link.is_outgoing:
             # The peer is ahead of this process: the heartbeat asks it for its view.
             self._send(link, self.catalog.heartbeat(now))
         link.is_greeted = True
-        self._spread(self.catalog.merge(update, now), link)
+        news = self.catalog.merge(update, now)
+        self._spread(news, link)
+        if news.lacks_configuration:
+            self._send(link, replace(self.catalog.heartbeat(now), lacks_configuration=True))
+
+    def _snapshot_for(self, update: CatalogUpdate, now: float) -> CatalogUpdate:
+        """Return the whole view, without routes that the sender of ``update`` has already."""
+        snapshot = self.catalog.snapshot(now)
+        version = self.catalog.configuration_version
+        if update.configuration_version == version and not update.lacks_configuration:
+            return replace(snapshot, configuration=None)
+        return snapshot
 
     def _spread(self, update: CatalogUpdate, source: _PeerLink | None) -> None:
         """Act on what was new and pass it on to all other peers."""
@@ -235,6 +249,7 @@
                 entries=update.entries,
                 removals=update.removals,
                 configuration=update.configuration,
+                configuration_change=update.configuration_change,
             )
         )
         for link in list(self._links):
@@ -242,11 +257,12 @@
                 link.stream.send(data)
 
     def _log_changes(self, update: CatalogUpdate, source: str) -> None:
-        if update.configuration is not None:
+        configuration = self.catalog.configuration
+        if configuration is not None and (update.configuration or update.configuration_change):
             self._log.write(
                 Event.LIST_IN_FORCE,
-                version=update.configuration.version,
-                routes=len(update.configuration.routes),
+                version=configuration.version,
+                routes=len(configuration.routes),
                 source=source,
             )
         for entry in update.entries:
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -4,6 +4,7 @@
 
 from laburnumbridge.core import Choice
 from laburnumbridge.core import Event
+from laburnumbridge.forwarding.network import StreamEnd
 from laburnumbridge.standins.flows.simulated_fleet import CLIENT
 from laburnumbridge.standins.flows.simulated_fleet import OUTPUT_PORT
 from laburnumbridge.standins.flows.simulated_fleet import PACKET_PORT
@@ -307,6 +308,53 @@
             assert flow.is_open
 
 
+class TestViewSharing:
+    def test_a_change_costs_what_it_changes(self, fleet):
+        # Guards against whole configurations to every peer: with 1,300 routes a storm of changes
+        # filled the links of the entry VMs.
+        endpoints = tuple((f"198.18.1.{number}", 443) for number in range(250))
+        fleet.configure(version=2, endpoints=(SERVICE, *endpoints))
+        fleet.world.run_for(1.0)
+        fleet.world.stream_bytes_by_address.clear()
+        for version in range(3, 13):
+            fleet.configure(version=version, endpoints=(SERVICE, UNUSED, *endpoints[version:]))
+            fleet.world.run_for(0.1)
+        sent = fleet.world.stream_bytes_by_address
+        peers_bytes = sum(sent[address] for address in (*fleet.balancers, *fleet.agents))
+        assert peers_bytes < 10 * 7 * 2 * 2_000  # changes, processes, sources, bytes
+        for address in (*fleet.balancers, *fleet.agents):
+            configuration = fleet.process_by_address[address].view.catalog.configuration
+            assert configuration.version == 12
+            assert {route.address for route in configuration.routes} == {
+                address for address, _ in (SERVICE, UNUSED, *endpoints[12:])
+            }
+
+    def test_a_process_that_missed_changes_catches_up(self, fleet):
+        # Guards against a change that can't be applied and is never asked for again.
+        behind = fleet.agents[0]
+        for seed in fleet.balancers:
+            fleet.world.cut(behind, seed)
+        fleet.world.run_for(0.1)
+        for version in range(2, 5):
+            fleet.configure(version=version, endpoints=(SERVICE, UNUSED))
+            fleet.world.run_for(0.1)
+        fleet.world.heal()
+        fleet.configure(version=9, endpoints=(UNUSED,))
+        fleet.world.run_for(4.0)
+        catalog = fleet.process_by_address[behind].view.catalog
+        assert catalog.configuration_version == 9
+        assert [route.address for route in catalog.configuration.routes] == [UNUSED[0]]
+
+    def test_a_peer_that_is_lost_while_news_spreads(self, fleet):
+        # Guards against a process that ends because a connection broke while it sent to all peers.
+        links = fleet.process_by_address[fleet.balancers[0]].view._links
+        for link in list(links):
+            link.stream.send = lambda _data, link=link: link.stream.end(StreamEnd(reason="slow"))
+        fleet.configure(version=2, endpoints=(SERVICE, UNUSED))
+        fleet.world.run_for(2.0)
+        assert fleet.is_running(fleet.balancers[0])
+
+
 class TestPlatformAway:
     def test_another_process_reads_when_the_platform_refuses_all_seeds(self, fleet):
         # Guards against a view that stays old since those that read are turned away.
--- a/libs/standins/src/laburnumbridge/standins/benchmarks/flow_balancer_target.py
+++ b/libs/standins/src/laburnumbridge/standins/benchmarks/flow_balancer_target.py
@@ -66,11 +66,8 @@
         shares=(ServiceShare(service="desk", weight=1),),
         is_retryable=True,
         is_download=False,
-        timeout_ms=1_000,
-    )
-    configuration = RoutingConfiguration(
-        version=1, routes=(route,), idle_timeout_ms=60_000, health_path_by_service={}
     )
+    configuration = RoutingConfiguration(version=1, routes=(route,), idle_timeout_ms=60_000)
     return CatalogUpdate(
         revision=1, confirmed_age_ms=0, entries=(entry,), configuration=configuration
     )
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -116,12 +116,10 @@
                         shares=shares,
                         is_retryable=False,
                         is_download=False,
-                        timeout_ms=3_000,
                     )
                     for address, port in endpoints
                 ),
                 idle_timeout_ms=15_000,
-                health_path_by_service={},
             )
         )
 
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_world.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from laburnumbridge.forwarding.network import ByteStream
@@ -26,7 +27,8 @@
     """Runs events in the order of simulated time and carries bytes between addresses.
 
     ``cut`` silences two addresses for each other, ``lose`` decides by a callback which datagrams
-    are lost, and an address in ``dark`` neither sends nor receives.
+    are lost, and an address in ``dark`` neither sends nor receives. ``stream_bytes_by_address``
+    counts what streams carried, by sender.
     """
 
     def __init__(self) -> None:
@@ -35,6 +37,7 @@
         self.lose: Callable[[bytes, Endpoint], bool] = lambda _datagram, _endpoint: False
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
+        self.stream_bytes_by_address: Counter[str] = Counter()
         self._cuts: set[frozenset[str]] = set()
         self.ports: dict[Endpoint, SimulatedDatagramPort] = {}
         self.listeners: dict[Endpoint, SimulatedListener] = {}
@@ -186,6 +189,7 @@
             self._unsent.append(data)
             return
         peer = self.peer
+        self.loop.world.stream_bytes_by_address[self.loop.address] += len(data)
         self._carry(lambda: peer.receive(data))
 
     def close(self) -> None:
