Leave the rotation while no agent answers

Change: a balancer that sent packets and heard no agent for 0.7 s reports that it isn't ready, asks three agents each 0.25 s, and returns when one answers. Where all are cut off the fabric uses all anyway.

--- a/libs/core/src/laburnumbridge/core/event.py
+++ b/libs/core/src/laburnumbridge/core/event.py
@@ -37,7 +37,7 @@
     PEER_LOST = (309, "warning", "The connection to a peer has ended.")
     UPSTREAM_CHANGED = (310, "info", "An upstream was listed, changed or removed in this view.")
     UPSTREAM_SILENT = (311, "warning", "The upstream leaves opening packets unanswered.")
-    AGENT_SILENT = (312, "warning", "An agent answers nothing; new flows avoid it.")
+    AGENTS_UNREACHABLE = (312, "warning", "No agent answers, or one does again.")
     UPSTREAM_DRAINING = (303, "info", "The upstream leaves; it gets no new work.")
     FLOW_OPENED = (403, "debug", "A guest's connection is open.")
     FLOW_CLOSED = (404, "debug", "A guest's connection has ended.")
--- a/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
+++ b/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
@@ -23,6 +23,8 @@
     LOAD = 2
     LOCATED = 3
     RECORDS = 4
+    PROBE = 5
+    """Asks an agent for a load report."""
 
 
 class SearchStage(IntEnum):
--- a/libs/flows/src/laburnumbridge/flows/upstream_choice.py
+++ b/libs/flows/src/laburnumbridge/flows/upstream_choice.py
@@ -16,6 +16,8 @@
 """How long an own placement counts before the agent's report shows it: two report intervals."""
 SILENCE_S = 0.5
 """An agent answers packets with a load report within 0.1 s; one that doesn't stands still."""
+CUT_OFF_S = 0.7
+"""Several agents answer within a tenth of this unless the VM is cut off from all of them."""
 STALE_REPORT_S = 1.0
 """After this a report of busy slots says nothing: requests take a tenth of it."""
 
@@ -53,22 +55,32 @@
         self._placed_by_agent: dict[str, list[float]] = {}
         self._avoid_until_by_agent: dict[str, float] = {}
         self._unanswered_since_by_agent: dict[str, float] = {}
+        self._heard_at: float | None = None
 
     def sent(self, agent: str, now: float) -> None:
         """Note that a packet went to ``agent``, which shall answer with a load report."""
         self._unanswered_since_by_agent.setdefault(agent, now)
 
-    def heard(self, agent: str) -> None:
+    def heard(self, agent: str, now: float) -> None:
         """Note that ``agent`` has sent something."""
+        self._heard_at = now
         self._unanswered_since_by_agent.pop(agent, None)
 
+    def is_cut_off(self, now: float) -> bool:
+        """Return whether packets went out and no agent at all has answered since."""
+        if not self._unanswered_since_by_agent:
+            return False
+        unanswered_s = now - min(self._unanswered_since_by_agent.values())
+        unheard_s = unanswered_s if self._heard_at is None else now - self._heard_at
+        return min(unanswered_s, unheard_s) > CUT_OFF_S
+
     def silence_s(self, agent: str, now: float) -> float:
         """Return how long ``agent`` has left packets unanswered."""
         return now - self._unanswered_since_by_agent.get(agent, now)
 
     def report(self, agent: str, report: LoadReport, now: float) -> None:
         """Take in a load report."""
-        self.heard(agent)
+        self.heard(agent, now)
         self._load_by_agent[agent] = _KnownLoad(report=report, reported_at=now)
 
     def keep_only(self, agents: Collection[str]) -> None:
@@ -80,7 +92,7 @@
             *self._unanswered_since_by_agent,
         }
         for agent in known.difference(agents):
-            self.heard(agent)
+            self._unanswered_since_by_agent.pop(agent, None)
             self._load_by_agent.pop(agent, None)
             self._placed_by_agent.pop(agent, None)
             self._avoid_until_by_agent.pop(agent, None)
--- a/libs/flows/tests/test_upstream_choice.py
+++ b/libs/flows/tests/test_upstream_choice.py
@@ -101,7 +101,7 @@
         choice.sent("a", 0.9)
         candidates = [candidate("a"), candidate("b")]
         assert choice.choose(candidates, is_long=False, now=1.0) == "b"
-        choice.heard("a")
+        choice.heard("a", 1.0)
         assert choice.choose(candidates, is_long=False, now=1.0) == "a"
 
     def test_agents_that_left_are_forgotten(self):
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -228,6 +228,8 @@
                 self._on_envelope(decode_envelope(datagram), sender, now)
             elif kind == DatagramKind.LOAD:
                 self._choice.report(sender[0], decode_load(datagram), now)
+            elif kind == DatagramKind.PROBE:
+                self.peers.send(encode_load(self._load_report), sender)
             elif kind == DatagramKind.RECORDS:
                 located = decode_flows(datagram)
                 for flow in located.flows:
@@ -607,14 +609,18 @@
                     (keeper, self.settings.peer_port),
                 )
 
-    def _send_load(self) -> None:
-        now = self.loop.now()
-        report = LoadReport(
+    @property
+    def _load_report(self) -> LoadReport:
+        return LoadReport(
             busy=self._flows.busy,
             open_flows=self._flows.open_flows,
             slots=self._slots,
             is_available=self._can_take,
         )
+
+    def _send_load(self) -> None:
+        now = self.loop.now()
+        report = self._load_report
         datagram = encode_load(report)
         for address, reporter in self._reporter_by_address.items():
             has_news = reporter.reported != report
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from laburnumbridge.catalog import RouteIndex
+from laburnumbridge.core import Choice
 from laburnumbridge.core import Event
 from laburnumbridge.core import hash64
 from laburnumbridge.flows import ExpiringMap
@@ -45,6 +46,8 @@
 STOP_MARGIN_S = 1.0
 """A stop ends this long before the platform kills the process."""
 UPKEEP_S = 0.25
+PROBED_AGENTS = 3
+"""Asked each ``UPKEEP_S`` while the VM is cut off: one of them may be lost or dead."""
 
 
 class FlowBalancer(ForwardingProcess):
@@ -65,6 +68,8 @@
         )
         self._last_packet_at = self.loop.now()
         self._stopping_at = 0.0
+        self._is_cut_off = False
+        self._probe_choice = Choice(seed=hash64(self.settings.process.encode()))
 
     def start(self) -> None:
         """Open all sockets. Raises OSError."""
@@ -106,7 +111,7 @@
         except MalformedPeerDatagramError as error:
             self.drop("peer_malformed", peer=sender[0], fault=error.reason)
             return
-        self._choice.heard(sender[0])
+        self._choice.heard(sender[0], now)
 
     def locate(self, flow: FlowKey, agent: str) -> None:
         """Remember that ``flow`` is open at ``agent``."""
@@ -216,8 +221,27 @@
         reset = self.reset_flow(packet.flow, acknowledged=packet.acknowledged, reason=reason)
         self._packets.send(reset, self.client_endpoint(packet.flow))
 
+    @property
+    def unready_reason(self) -> str | None:
+        """Why the fabric should send packets to other balancers."""
+        if self._is_cut_off:
+            return "no agent answers"
+        return super().unready_reason
+
+    def _follow_connection(self, now: float) -> None:
+        """Leave the rotation while no agent answers, and ask agents until one does."""
+        is_cut_off = self._choice.is_cut_off(now)
+        if is_cut_off != self._is_cut_off:
+            self._is_cut_off = is_cut_off
+            self.log.write(Event.AGENTS_UNREACHABLE, outcome="lost" if is_cut_off else "regained")
+        if is_cut_off:
+            agents = [entry.address for entry in self.view.catalog.entry_by_name.values()]
+            for agent in self._probe_choice.sample(agents, PROBED_AGENTS):
+                self.peers.send(bytes((DatagramKind.PROBE,)), (agent, self.settings.peer_port))
+
     def _upkeep(self) -> None:
         now = self.loop.now()
+        self._follow_connection(now)
         self._agent_by_flow.expire(now)
         self.metrics.gauge("flows_known", len(self._agent_by_flow))
         if self.is_stopping:
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -167,11 +167,17 @@
         self.on_view_change(update)
 
     def _readiness(self, _path: str) -> tuple[int, bytes]:
+        reason = self.unready_reason
+        return (200, b"ready\n") if reason is None else (503, f"{reason}\n".encode())
+
+    @property
+    def unready_reason(self) -> str | None:
+        """Why the process should get no traffic, or None when it is ready."""
         if self.is_stopping:
-            return 503, b"stopping\n"
+            return "stopping"
         if not self.view.catalog.is_ready:
-            return 503, b"no view of the fleet yet\n"
-        return 200, b"ready\n"
+            return "no view of the fleet yet"
+        return None
 
     def _serve_metrics(self, _path: str) -> tuple[int, bytes]:
         return 200, self.metrics.render()
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -308,6 +308,40 @@
             assert flow.is_open
 
 
+class TestCutOff:
+    def test_a_balancer_that_reaches_no_agent_leaves_the_rotation_and_returns(self, fleet):
+        # Guards against a VM that is cut off from the agents and goes on taking packets: its
+        # clients were late or lost for five seconds of a played day.
+        cut_off = fleet.balancers[0]
+        process = fleet.process_by_address[cut_off]
+        fleet.rotation = [cut_off]
+        flow = fleet.client.open_flow(SERVICE)
+        fleet.world.run_for(0.2)
+        for agent in fleet.agents:
+            fleet.world.cut(cut_off, agent)
+        for number in range(10):
+            flow.request(b"r%d" % number)
+            fleet.world.run_for(0.15)
+        assert process.unready_reason == "no agent answers"
+        fleet.rotation = fleet.balancers[1:]
+        fleet.world.run_for(2.0)
+        assert process.unready_reason is not None
+        fleet.world.heal()
+        fleet.world.run_for(0.6)
+        assert process.unready_reason is None
+        fleet.world.run_for(3.0)
+        assert len(flow.answers) == 10
+
+    def test_a_balancer_stays_while_some_agents_answer(self, fleet):
+        # Guards against balancers that leave the rotation because one agent is lost.
+        fleet.world.cut(fleet.balancers[0], fleet.agents[0])
+        fleet.rotation = [fleet.balancers[0]]
+        for number in range(20):
+            fleet.client.open_flow(SERVICE).request(b"r%d" % number)
+            fleet.world.run_for(0.1)
+            assert fleet.process_by_address[fleet.balancers[0]].unready_reason is None
+
+
 class TestViewSharing:
     def test_a_change_costs_what_it_changes(self, fleet):
         # Guards against whole configurations to every peer: with 1,300 routes a storm of changes
