--- a/libs/flows/src/laburnumbridge/flows/__init__.py
+++ b/libs/flows/src/laburnumbridge/flows/__init__.py
@@ -11,6 +11,7 @@
 from laburnumbridge.flows.flow_directory import FlowState
 from laburnumbridge.flows.flow_packet import FlowKey
 from laburnumbridge.flows.flow_packet import FlowPacket
+from laburnumbridge.flows.flow_records import FlowRecords
 from laburnumbridge.flows.opening_queue import OpeningQueue
 from laburnumbridge.flows.packet_codec import PacketCodec
 from laburnumbridge.flows.upstream_choice import Candidate
@@ -24,6 +25,7 @@
     "FlowKey",
     "FlowPacket",
     "FlowRecord",
+    "FlowRecords",
     "FlowState",
     "MalformedPacketError",
     "MalformedPeerDatagramError",
--- a/libs/flows/src/laburnumbridge/flows/flow_directory.py
+++ b/libs/flows/src/laburnumbridge/flows/flow_directory.py
@@ -85,6 +85,14 @@
         """Return the keys of all open flows."""
         return [flow for flow, record in self._by_flow.items() if record.state is FlowState.OPEN]
 
+    def opened_at_by_flow(self) -> dict[FlowKey, float]:
+        """Return when each open flow was opened."""
+        return {
+            flow: record.opened_at
+            for flow, record in self._by_flow.items()
+            if record.state is FlowState.OPEN
+        }
+
     def get(self, flow: FlowKey) -> FlowRecord | None:
         """Return the record of ``flow``."""
         return self._by_flow.get(flow)
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
@@ -11,6 +10,7 @@
 from laburnumbridge.core import hash64
 from laburnumbridge.flows import ExpiringMap
 from laburnumbridge.flows import FlowDirectory
+from laburnumbridge.flows import FlowRecords
 from laburnumbridge.flows import FlowState
 from laburnumbridge.flows import MalformedPacketError
 from laburnumbridge.flows import MalformedPeerDatagramError
@@ -32,9 +32,10 @@
 from laburnumbridge.forwarding.endpoints import parse_endpoint
 from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
 from laburnumbridge.forwarding.forwarding_process import flow_text
+from laburnumbridge.forwarding.load_reporter import REPORT_INTERVAL_S
+from laburnumbridge.forwarding.load_reporter import LoadReporter
 from laburnumbridge.forwarding.service_directory import service_tag
-from laburnumbridge.forwarding.upstream_probe import ProbeOutcome
-from laburnumbridge.forwarding.upstream_probe import UpstreamProbe
+from laburnumbridge.forwarding.upstream_watch import UpstreamWatch
 
 if TYPE_CHECKING:
     from laburnumbridge.catalog import CatalogUpdate
@@ -46,25 +47,12 @@
 """Ten times the connections that an upstream holds, for flows that have closed."""
 DEFAULT_IDLE_S = 15.0
 """Used until a configuration is known."""
-RECORDS_LIMIT = 50_000
-"""Twice the flows of 8,500 agents that hold 565 each, spread over all of them, is 1,130."""
-RECORD_REFRESH_S = 5.0
-RECORD_TTL_S = 3 * RECORD_REFRESH_S
-KEEPERS = 2
-"""Agents that know where a flow is; losing one costs nothing."""
-RECORD_AGE_S = 0.3
-"""Shorter flows get no record: they are over before the fabric's hash is likely to change."""
 HANDED_OVER_S = 3.0
 """Covers an opening packet's copies and the answer's way through the first agent."""
 MAX_HANDOVERS = 3
 """The fourth agent takes an opening packet though it is busy: a fifth would hardly be free."""
 MAX_HOPS = 200
 """Ends a search whose agents disagree; the ranking alone ends all others."""
-REPORT_INTERVAL_S = 0.02
-REPORT_AT_LEAST_S = 0.1
-"""A balancer that sent packets hears from the agent this often even without a change."""
-REPORTER_S = 1.0
-"""Balancers and agents that sent packets within this time get load reports."""
 UNKNOWN_SLOTS = 16
 """Until the upstream's entry is known nothing is held back: the upstream has a queue of its own."""
 HOLD_S = 1.2
@@ -77,13 +65,8 @@
 """A handshake takes about 5 ms, a tenth of a request: a quarter more than the slots covers it."""
 COPY_S = 0.15
 """A client copies its opening packet after 0.2 s: an agent silent until then has not taken it."""
-UNANSWERED_OPENING_S = 0.08
-"""An upstream answers an opening packet within a millisecond unless it is gone or stuck."""
-UPSTREAM_REFUSAL_S = 0.25
-"""An upstream that returned an opening packet is full or leaving; a few requests end meanwhile."""
 UPKEEP_S = 0.05
 EXPIRY_S = 0.5
-PROBE_AGAIN_S = 0.5
 SETTLED_S = 0.3
 """A search that found nothing counts only when the list of agents has not changed for so long;
 news reaches all processes within a tenth of it."""
@@ -97,23 +80,6 @@
 """Packets whose return from the upstream is expected; it returns them within a millisecond."""
 
 
-@dataclass(kw_only=True, slots=True)
-class _Delivery:
-    """A packet that was handed to the upstream, in case it comes back."""
-
-    envelope: Envelope
-    delivered_at: float
-
-
-@dataclass(kw_only=True, slots=True)
-class _Reporter:
-    """A process that sent packets and gets load reports for it."""
-
-    heard_at: float
-    reported_at: float = 0.0
-    reported: LoadReport | None = None
-
-
 class FlowAgent(ForwardingProcess):
     """Hands packets to the upstream beside it and the upstream's packets to clients.
 
@@ -133,9 +99,7 @@
         self._flows = FlowDirectory(
             limit=FLOWS_LIMIT, idle_s=DEFAULT_IDLE_S, max_age_s=self.settings.flow_max_age_s
         )
-        self._records: ExpiringMap[FlowKey, str] = ExpiringMap(
-            ttl_s=RECORD_TTL_S, limit=RECORDS_LIMIT
-        )
+        self._records = FlowRecords(agent=self.settings.address)
         self._handed_over: ExpiringMap[FlowKey, str] = ExpiringMap(
             ttl_s=HANDED_OVER_S, limit=FLOWS_LIMIT
         )
@@ -143,23 +107,19 @@
             ttl_s=HANDED_OVER_S, limit=FLOWS_LIMIT
         )
         self._choice = UpstreamChoice(seed=hash64(self.settings.process.encode()))
-        self._deliveries: dict[int, _Delivery] = {}
+        self._delivered_by_echo: dict[int, Envelope] = {}
         self._next_echo = 1
         self._searches_to_repeat = 0
-        self._unanswered_openings: dict[FlowKey, _Delivery] = {}
-        self._reporter_by_address: dict[str, _Reporter] = {}
-        self._recorded_by_flow: dict[FlowKey, float] = {}
+        self._reporter = LoadReporter(port=self.peers, peer_port=self.settings.peer_port)
         self._waiting: OpeningQueue[Envelope] = OpeningQueue(patience_s=HOLD_S, limit=HELD_LIMIT)
-        self._is_upstream_silent = False
-        self._is_upstream_down = False
         self._was_listed = False
-        self._refuses_until = 0.0
-        self._probed_at = 0.0
-        self._probe = UpstreamProbe(
+        self._upstream = UpstreamWatch(
             loop=self.loop,
             network=self.network,
             endpoint=self._upstream_endpoint,
-            on_outcome=self._on_probed,
+            log=self.log,
+            metrics=self.metrics,
+            on_down=self._on_upstream_down,
         )
         self._stopping_at = 0.0
 
@@ -173,7 +133,7 @@
 
     def close(self) -> None:
         """Close all sockets."""
-        self._probe.close()
+        self._upstream.close()
         self._outputs.close()
         super().close()
 
@@ -185,7 +145,7 @@
         self._stopping_at = self.loop.now()
         self.log.write(Event.PROCESS_STOPPING, flows=self._flows.open_flows, busy=self._flows.busy)
         self._send_load()
-        self._probe.start()
+        self._upstream.probe()
 
     def on_view_change(self, update: CatalogUpdate) -> None:
         """Follow the idle time-out and the agents that keep records."""
@@ -203,9 +163,7 @@
 
         An agent without a view takes what a balancer sends it: the balancer has seen the entry.
         """
-        if self.is_stopping or self._is_upstream_down or self._is_upstream_silent:
-            return False
-        if self.loop.now() < self._refuses_until:
+        if self.is_stopping or not self._upstream.is_usable(self.loop.now()):
             return False
         entry = self.directory.entry(self.settings.address)
         if entry is None:
@@ -233,7 +191,7 @@
             elif kind == DatagramKind.RECORDS:
                 located = decode_flows(datagram)
                 for flow in located.flows:
-                    self._records.put(flow, located.agent_address, now)
+                    self._records.keep(flow, located.agent_address, now)
             else:
                 raise MalformedPeerDatagramError(reason=f"kind {kind}", size=len(datagram))
         except MalformedPeerDatagramError as error:
@@ -243,11 +201,7 @@
 
     def _on_envelope(self, envelope: Envelope, sender: Endpoint, now: float) -> None:
         packet = self.packet_codec.decode_from_client(envelope.raw)
-        reporter = self._reporter_by_address.get(sender[0])
-        if reporter is None:
-            self._reporter_by_address[sender[0]] = _Reporter(heard_at=now)
-        else:
-            reporter.heard_at = now
+        self._reporter.on_packet(sender[0], now)
         if packet.is_opening:
             self._on_opening(packet, envelope, now)
         else:
@@ -279,8 +233,8 @@
         self._flows.expect(packet.flow, now)
         if envelope.hops:
             self._locate(packet.flow, envelope.entry_address)
-        delivery = self._deliver(packet, envelope, now)
-        self._unanswered_openings.setdefault(packet.flow, delivery)
+        self._deliver(packet, envelope)
+        self._upstream.on_opening(packet.flow, envelope, now)
 
     @property
     def _admission_limit(self) -> int:
@@ -373,7 +327,7 @@
         if self._flows.client_packet(packet, now):
             if envelope.stage is not SearchStage.DIRECT or envelope.hops:
                 self._locate(packet.flow, envelope.entry_address)
-            self._deliver(packet, envelope, now)
+            self._deliver(packet, envelope)
             return
         if envelope.hops >= MAX_HOPS:
             self.drop("hops", flow=flow_text(packet.flow))
@@ -381,17 +335,17 @@
         if envelope.stage is not SearchStage.RANKED_NO_RECORDS:
             agent = self._handed_over.get(packet.flow, now)
             if envelope.stage is not SearchStage.RECORDED:
-                agent = agent or self._records.get(packet.flow, now)
+                agent = agent or self._records.find(packet.flow, now)
             ranking = self.directory.ranking(envelope.service_tag)
             if agent is not None and agent != self.settings.address and agent in ranking:
                 self._pass_on(envelope, agent, SearchStage.RECORDED)
                 return
-        if self._is_upstream_down:
+        if self._upstream.is_down:
             self._search_on(packet, envelope, now)
             return
         # The upstream may hold a flow that this process, started later, has not seen.
         self._entry_by_flow.put(packet.flow, envelope.entry_address, now)
-        self._deliver(packet, envelope, now)
+        self._deliver(packet, envelope)
 
     def _search_on(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         """Pass a packet on whose flow is not here."""
@@ -453,13 +407,12 @@
 
     # Packets to and from the upstream.
 
-    def _deliver(self, packet: FlowPacket, envelope: Envelope, now: float) -> _Delivery:
+    def _deliver(self, packet: FlowPacket, envelope: Envelope) -> None:
+        """Hand a packet to the upstream, which returns it with its echo if it can't use it."""
         echo = self._next_echo
         self._next_echo = echo % DELIVERIES_LIMIT + 1
-        delivery = _Delivery(envelope=envelope, delivered_at=now)
-        self._deliveries[echo] = delivery
+        self._delivered_by_echo[echo] = envelope
         self._outputs.send(self.packet_codec.with_echo(packet.raw, echo), self._upstream_endpoint)
-        return delivery
 
     def _on_upstream_datagram(self, datagram: bytes, _sender: Endpoint) -> None:
         now = self.loop.now()
@@ -468,10 +421,7 @@
         except MalformedPacketError as error:
             self.drop(error.reason, sender="upstream", size=error.size)
             return
-        if self._is_upstream_silent or self._is_upstream_down:
-            self._is_upstream_silent = self._is_upstream_down = False
-            self.log.write(Event.UPSTREAM_STARTED, upstream=self._upstream_endpoint[0])
-        self._unanswered_openings.pop(packet.flow, None)
+        self._upstream.on_packet(packet.flow)
         if packet.is_bounced:
             self._on_bounced(packet, now)
             return
@@ -484,18 +434,18 @@
             self._release_held(now)
 
     def _on_bounced(self, packet: FlowPacket, now: float) -> None:
-        delivery = self._deliveries.get(packet.echo)
+        delivered = self._delivered_by_echo.get(packet.echo)
         record = self._flows.get(packet.flow)
         was_open = record is not None and record.state is FlowState.OPEN
         self._flows.forget(packet.flow)
-        if delivery is None:
+        if delivered is None:
             self.drop("unknown_echo", flow=flow_text(packet.flow))
             return
         raw = self.packet_codec.with_echo(packet.raw, 0)
-        envelope = replace(delivery.envelope, raw=raw)
+        envelope = replace(delivered, raw=raw)
         packet = self.packet_codec.decode_from_client(raw)
         if packet.is_opening:
-            self._refuses_until = now + UPSTREAM_REFUSAL_S
+            self._upstream.on_refusal(now)
             if not self._hand_over(packet, envelope, "refused_by_upstream", now):
                 self._refuse(packet, "refused_by_upstream")
         elif was_open:
@@ -520,47 +470,26 @@
         if self._waiting:
             self._release_held(now)
             self._share_held(now)
-        for flow, delivery in list(self._unanswered_openings.items()):
-            if now - delivery.delivered_at > UNANSWERED_OPENING_S:
-                del self._unanswered_openings[flow]
-                self._on_unanswered(delivery, now)
-        is_suspect = self._is_upstream_down or self._is_upstream_silent
-        if is_suspect and now - self._probed_at > PROBE_AGAIN_S:
-            self._probed_at = now
-            self._probe.start()
-        if self.is_stopping and not self._probe.is_running:
+        for envelope in self._upstream.take_unanswered(now):
+            packet = self.packet_codec.decode_from_client(envelope.raw)
+            self._hand_over(packet, envelope, "unanswered", now)
+        if self.is_stopping and not self._upstream.is_probing:
             stopping_s = now - self._stopping_at
-            if self._flows.busy == 0 or stopping_s > STOP_WAIT_S or self._is_upstream_down:
+            if self._flows.busy == 0 or stopping_s > STOP_WAIT_S or self._upstream.is_down:
                 self.finish()
 
-    def _on_unanswered(self, delivery: _Delivery, now: float) -> None:
-        if not self._is_upstream_silent:
-            self._is_upstream_silent = True
-            self._probed_at = now
-            self._probe.start()
-            self.log.write(Event.UPSTREAM_SILENT, upstream=self._upstream_endpoint[0])
-        packet = self.packet_codec.decode_from_client(delivery.envelope.raw)
-        self._hand_over(packet, delivery.envelope, "unanswered", now)
-
-    def _on_probed(self, outcome: ProbeOutcome) -> None:
-        self.metrics.count("upstream_probes_total", outcome.value)
-        if outcome is ProbeOutcome.LISTENING:
-            if self._is_upstream_down or self._is_upstream_silent:
-                self._is_upstream_down = self._is_upstream_silent = False
-                self.log.write(Event.UPSTREAM_STARTED, upstream=self._upstream_endpoint[0])
-            return
-        if outcome is ProbeOutcome.REFUSED and not self._is_upstream_down:
-            self._is_upstream_down = True
-            self.log.write(
-                Event.UPSTREAM_DOWN,
-                upstream=self._upstream_endpoint[0],
-                flows=self._flows.open_flows,
-            )
-            for flow in self._flows.flows_open():
-                record = self._flows.get(flow)
-                if record is not None:
-                    self._reset(flow, record.client_acknowledged, "upstream_down")
-                self._flows.forget(flow)
+    def _on_upstream_down(self) -> None:
+        """Tell the clients of all open flows that these are gone."""
+        self.log.write(
+            Event.UPSTREAM_DOWN,
+            upstream=self._upstream_endpoint[0],
+            flows=self._flows.open_flows,
+        )
+        for flow in self._flows.flows_open():
+            record = self._flows.get(flow)
+            if record is not None:
+                self._reset(flow, record.client_acknowledged, "upstream_down")
+            self._flows.forget(flow)
 
     def _expire(self) -> None:
         now = self.loop.now()
@@ -568,9 +497,7 @@
         self._records.expire(now)
         self._handed_over.expire(now)
         self._entry_by_flow.expire(now)
-        for address, reporter in list(self._reporter_by_address.items()):
-            if now - reporter.heard_at > REPORTER_S:
-                del self._reporter_by_address[address]
+        self._reporter.expire(now)
         self._send_records(now)
         self.metrics.gauge("flows_open", self._flows.open_flows)
         self.metrics.gauge("requests_busy", self._flows.busy)
@@ -580,24 +507,11 @@
 
     def _send_records(self, now: float) -> None:
         """Tell the keepers of open flows where these are, and again before records expire."""
-        ranking = self.directory.ranking(self._own_tag)
         if self.directory.agents_changed_at > now - 2 * EXPIRY_S:
-            self._recorded_by_flow.clear()
-        flows_by_keeper: dict[str, list[FlowKey]] = {}
-        open_flows = set(self._flows.flows_open())
-        for flow in [flow for flow in self._recorded_by_flow if flow not in open_flows]:
-            del self._recorded_by_flow[flow]
-        for flow in open_flows:
-            record = self._flows.get(flow)
-            recorded_at = self._recorded_by_flow.get(flow)
-            if record is None or now - record.opened_at < RECORD_AGE_S:
-                continue
-            if recorded_at is not None and now - recorded_at < RECORD_REFRESH_S:
-                continue
-            self._recorded_by_flow[flow] = now
-            for keeper in ranking.keepers(flow, KEEPERS):
-                if keeper != self.settings.address:
-                    flows_by_keeper.setdefault(keeper, []).append(flow)
+            self._records.tell_anew()
+        flows_by_keeper = self._records.due(
+            self._flows.opened_at_by_flow(), self.directory.ranking(self._own_tag), now
+        )
         for keeper, flows in flows_by_keeper.items():
             for start in range(0, len(flows), FLOWS_PER_DATAGRAM):
                 located = FlowsLocated(
@@ -619,16 +533,4 @@
         )
 
     def _send_load(self) -> None:
-        now = self.loop.now()
-        report = self._load_report
-        datagram = encode_load(report)
-        for address, reporter in self._reporter_by_address.items():
-            has_news = reporter.reported != report
-            is_due = (
-                reporter.heard_at > reporter.reported_at
-                and now - reporter.reported_at > REPORT_AT_LEAST_S
-            )
-            if has_news or is_due:
-                reporter.reported = report
-                reporter.reported_at = now
-                self.peers.send(datagram, (address, self.settings.peer_port))
+        self._reporter.send(self._load_report, self.loop.now())
