Bound the reports of load by the budget for control

Cause: an agent told every change to every process that had sent packets in the last second. At full size hundreds of balancers do, and 50 changes a second to 565 of them are 28,000 datagrams a second. Change: at most six reports each 20 ms, to the listeners in turn: 300 a second, 11 KB/s.

--- a/libs/forwarding/src/laburnumbridge/forwarding/load_reporter.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/load_reporter.py
@@ -15,6 +15,8 @@
 """Changes are told this often at most; a request takes three times as long or more."""
 REPORT_AT_LEAST_S = 0.1
 """A process that sent packets hears from the agent this often even without a change."""
+REPORTS_AT_ONCE = 6
+"""300 reports a second are 11 KB/s with their headers; control may take 27 KB/s of a link."""
 LISTENER_S = 1.0
 """Processes that sent packets within this time get load reports."""
 
@@ -43,9 +45,15 @@
             listener.heard_at = now
 
     def send(self, report: LoadReport, now: float) -> None:
-        """Send ``report`` to those for whom it is news, or who wait for an answer."""
+        """Send ``report`` to those for whom it is news, or who wait for an answer.
+
+        A few at a time, in turn: at full size hundreds of balancers send packets to each agent.
+        """
         datagram = encode_load(report)
-        for address, listener in self._listener_by_address.items():
+        sent = 0
+        for address, listener in list(self._listener_by_address.items()):
+            if sent == REPORTS_AT_ONCE:
+                return
             has_news = listener.reported != report
             is_due = (
                 listener.heard_at > listener.reported_at
@@ -55,6 +63,9 @@
                 listener.reported = report
                 listener.reported_at = now
                 self._port.send(datagram, (address, self._peer_port))
+                # To the end of the order, so that the others come first at the next time.
+                self._listener_by_address[address] = self._listener_by_address.pop(address)
+                sent += 1
 
     def expire(self, now: float) -> None:
         """Forget processes that have sent nothing for a while."""
