--- a/libs/cli/src/laburnumbridge/cli/flow_explanation.py
+++ b/libs/cli/src/laburnumbridge/cli/flow_explanation.py
@@ -33,6 +33,9 @@
 def explain_flow(flow: str, lines: Iterable[bytes]) -> list[LoggedDecision]:
     """Return the decisions about ``flow`` and about the agents that they name, oldest first.
 
+    Of the lines about agents only those of processes that name the flow count, since every process
+    of the fleet logs each change of the view.
+
     A line that isn't a JSON object of the log is passed over, so that whole files of standard
     output can be given.
     """
@@ -40,6 +43,7 @@
     about = [line for line in parsed if line.fields.get("flow") == flow]
     if not about:
         return []
+    processes = {line.process for line in about}
     agents = {line.fields[name] for line in about for name in ("agent",) if name in line.fields}
     first = min(line.at for line in about) - CONTEXT_S
     last = max(line.at for line in about) + CONTEXT_S
@@ -47,6 +51,7 @@
         line
         for line in parsed
         if "flow" not in line.fields
+        and line.process in processes
         and first <= line.at <= last
         and agents & {line.fields.get("agent"), line.fields.get("upstream")}
     ]
