Put the runtime's modules into folders along a packet's way

Cause: 45 modules in one folder hid how a packet travels. Change: forwarding_path, guest_connections, guest_requests, control and published_lists; the processes and what asks them stay on top. Only imports change; the tests of the moved modules move with them.

--- a/libs/cli/src/laburnumbridge/cli/fleet.py
+++ b/libs/cli/src/laburnumbridge/cli/fleet.py
@@ -25,7 +25,7 @@
 from laburnumbridge.runtime.fleet_reader import TIMEOUT_S
 from laburnumbridge.runtime.fleet_reader import FleetProcess
 from laburnumbridge.runtime.fleet_reader import GrpcFleetReader
-from laburnumbridge.runtime.platform_client import PlatformClient
+from laburnumbridge.runtime.published_lists.platform_client import PlatformClient
 from laburnumbridge.wire import ChannelPool
 from laburnumbridge.wire import Endpoint
 from laburnumbridge.wire import FileCertificateSource
--- a/libs/runtime/src/laburnumbridge/runtime/agent_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/agent_process.py
@@ -15,22 +15,22 @@
 from laburnumbridge.core import PlanName
 from laburnumbridge.core import hash64
 from laburnumbridge.routing import CONNECTION_ID_BYTES
-from laburnumbridge.runtime.agent_fleet import AgentFleet
-from laburnumbridge.runtime.connection_id_issuer import ConnectionIdIssuer
+from laburnumbridge.runtime.control.lease_driver import LeaseDriver
 from laburnumbridge.runtime.errors import UnknownServiceError
-from laburnumbridge.runtime.flow_endpoint import FlowEndpoint
-from laburnumbridge.runtime.flow_mover import FlowMover
-from laburnumbridge.runtime.forwarded_requests import ForwardedRequests
-from laburnumbridge.runtime.grpc_sibling_calls import GrpcSiblingCalls
-from laburnumbridge.runtime.lease_driver import LeaseDriver
-from laburnumbridge.runtime.pipeline_handler import PipelineHandler
-from laburnumbridge.runtime.placement_policy import PlacementPolicy
+from laburnumbridge.runtime.guest_connections.connection_id_issuer import ConnectionIdIssuer
+from laburnumbridge.runtime.guest_connections.flow_endpoint import FlowEndpoint
+from laburnumbridge.runtime.guest_connections.flow_mover import FlowMover
+from laburnumbridge.runtime.guest_connections.placement_policy import PlacementPolicy
+from laburnumbridge.runtime.guest_requests.forwarded_requests import ForwardedRequests
+from laburnumbridge.runtime.guest_requests.grpc_sibling_calls import GrpcSiblingCalls
+from laburnumbridge.runtime.guest_requests.pipeline_handler import PipelineHandler
+from laburnumbridge.runtime.guest_requests.request_recorder import RequestRecorder
+from laburnumbridge.runtime.guest_requests.request_runner import RequestRunner
+from laburnumbridge.runtime.guest_requests.upstream_client import HttpUpstreamClient
+from laburnumbridge.runtime.guest_requests.upstream_monitor import UpstreamMonitor
 from laburnumbridge.runtime.process import Process
 from laburnumbridge.runtime.process_core import ProcessCore
-from laburnumbridge.runtime.request_recorder import RequestRecorder
-from laburnumbridge.runtime.request_runner import RequestRunner
-from laburnumbridge.runtime.upstream_client import HttpUpstreamClient
-from laburnumbridge.runtime.upstream_monitor import UpstreamMonitor
+from laburnumbridge.runtime.published_lists.agent_fleet import AgentFleet
 from laburnumbridge.telemetry import Event
 from laburnumbridge.telemetry import UpstreamLoad
 from laburnumbridge.wire import Encapsulation
@@ -39,7 +39,7 @@
 if TYPE_CHECKING:
     from laburnumbridge.lists import Identity
     from laburnumbridge.lists import Service
-    from laburnumbridge.runtime.guest_request import GuestRequest
+    from laburnumbridge.runtime.guest_requests.guest_request import GuestRequest
     from laburnumbridge.settings import AgentSettings
 
 # A silent connection must be noticed within 10 s. Either end sends at least each 3 s, and the
--- a/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
+++ b/libs/runtime/src/laburnumbridge/runtime/balancer_process.py
@@ -8,11 +8,11 @@
 from laburnumbridge.core import ProcessId
 from laburnumbridge.routing import AgentState
 from laburnumbridge.routing import Router
-from laburnumbridge.runtime.balancer_forwarder import BalancerForwarder
 from laburnumbridge.runtime.errors import UnknownServiceError
+from laburnumbridge.runtime.forwarding_path.balancer_forwarder import BalancerForwarder
+from laburnumbridge.runtime.forwarding_path.route_table import build_routes
 from laburnumbridge.runtime.process import Process
 from laburnumbridge.runtime.process_core import ProcessCore
-from laburnumbridge.runtime.route_table import build_routes
 from laburnumbridge.telemetry import Event
 from laburnumbridge.wire import Encapsulation
 from laburnumbridge.wire import Endpoint
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/control/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes, and the drivers that they feed."""
--- a/libs/runtime/src/laburnumbridge/runtime/control_link.py
+++ b/libs/runtime/src/laburnumbridge/runtime/control/control_link.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from laburnumbridge.runtime.udp_socket import UdpSocket
+from laburnumbridge.runtime.forwarding_path.udp_socket import UdpSocket
 from laburnumbridge.wire import DatagramRejectedError
 from laburnumbridge.wire import DatagramTooLargeError
 from laburnumbridge.wire import Endpoint
--- a/libs/runtime/src/laburnumbridge/runtime/lease_driver.py
+++ b/libs/runtime/src/laburnumbridge/runtime/control/lease_driver.py
@@ -28,7 +28,7 @@
 from laburnumbridge.limits import SendReport
 from laburnumbridge.limits import Tick
 from laburnumbridge.limits import WorkEnded
-from laburnumbridge.runtime.message_kinds import MessageKind
+from laburnumbridge.runtime.control.message_kinds import MessageKind
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -40,7 +40,7 @@
     from laburnumbridge.limits import HolderAction
     from laburnumbridge.limits import Work
     from laburnumbridge.lists import PlanList
-    from laburnumbridge.runtime.control_link import ControlLink
+    from laburnumbridge.runtime.control.control_link import ControlLink
 
 # A timer that is due at once still leaves other work its turn.
 MIN_DELAY_S = 0.001
--- a/libs/runtime/src/laburnumbridge/runtime/membership_driver.py
+++ b/libs/runtime/src/laburnumbridge/runtime/control/membership_driver.py
@@ -10,8 +10,8 @@
 from laburnumbridge.core import ProcessId
 from laburnumbridge.core import ServiceName
 from laburnumbridge.core import hash64
-from laburnumbridge.runtime.message_kinds import MessageKind
-from laburnumbridge.runtime.timer import PeriodicTimer
+from laburnumbridge.runtime.control.message_kinds import MessageKind
+from laburnumbridge.runtime.control.timer import PeriodicTimer
 from laburnumbridge.telemetry import Decision
 from laburnumbridge.telemetry import Event
 from laburnumbridge.telemetry import SubjectKind
@@ -22,7 +22,7 @@
     from laburnumbridge.core import Incarnation
     from laburnumbridge.lists import Vm
     from laburnumbridge.lists import VmList
-    from laburnumbridge.runtime.control_link import ControlLink
+    from laburnumbridge.runtime.control.control_link import ControlLink
     from laburnumbridge.telemetry import DecisionRing
     from laburnumbridge.telemetry import EventLog
 
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/forwarding_path/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a packet through a balancer."""
--- a/libs/runtime/src/laburnumbridge/runtime/balancer_forwarder.py
+++ b/libs/runtime/src/laburnumbridge/runtime/forwarding_path/balancer_forwarder.py
@@ -8,9 +8,9 @@
 from laburnumbridge.routing import Drop
 from laburnumbridge.routing import RouteToAgent
 from laburnumbridge.routing import SendStatelessReset
-from laburnumbridge.runtime.stateless_reset import build_stateless_reset
-from laburnumbridge.runtime.suspect_packets import SuspectPackets
-from laburnumbridge.runtime.udp_socket import UdpSocket
+from laburnumbridge.runtime.forwarding_path.stateless_reset import build_stateless_reset
+from laburnumbridge.runtime.forwarding_path.suspect_packets import SuspectPackets
+from laburnumbridge.runtime.forwarding_path.udp_socket import UdpSocket
 from laburnumbridge.wire import Endpoint
 from laburnumbridge.wire import FrameKind
 from laburnumbridge.wire import FrameRejectedError
--- a/libs/runtime/src/laburnumbridge/runtime/return_path.py
+++ b/libs/runtime/src/laburnumbridge/runtime/forwarding_path/return_path.py
@@ -12,7 +12,7 @@
     from collections.abc import Sequence
 
     from laburnumbridge.core import ServiceNumber
-    from laburnumbridge.runtime.udp_socket import UdpSocket
+    from laburnumbridge.runtime.forwarding_path.udp_socket import UdpSocket
     from laburnumbridge.wire import Encapsulation
     from laburnumbridge.wire import Endpoint
 
--- a/libs/runtime/src/laburnumbridge/runtime/route_table.py
+++ b/libs/runtime/src/laburnumbridge/runtime/forwarding_path/route_table.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from laburnumbridge.membership import MembershipView
-    from laburnumbridge.runtime.fleet_view import FleetView
+    from laburnumbridge.runtime.published_lists.fleet_view import FleetView
 
 _ROUTE_STATES = {
     MemberState.LIVE: AgentState.LIVE,
--- a/libs/runtime/src/laburnumbridge/runtime/suspect_packets.py
+++ b/libs/runtime/src/laburnumbridge/runtime/forwarding_path/suspect_packets.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from laburnumbridge.runtime.stateless_reset import MAX_RESET_BYTES
+from laburnumbridge.runtime.forwarding_path.stateless_reset import MAX_RESET_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_connections/__init__.py
@@ -0,0 +1,1 @@
+"""QUIC connections of guests, at their agent."""
--- a/libs/runtime/src/laburnumbridge/runtime/flow_endpoint.py
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_connections/flow_endpoint.py
@@ -15,12 +15,12 @@
 from aioquic.quic.packet import pull_quic_header
 
 from laburnumbridge.routing import CONNECTION_ID_BYTES
-from laburnumbridge.runtime.guest_connection import GuestConnection
-from laburnumbridge.runtime.guest_request import ConnectionRecord
-from laburnumbridge.runtime.return_path import ReturnPath
-from laburnumbridge.runtime.stateless_reset import build_stateless_reset
-from laburnumbridge.runtime.token_connection import TokenConnection
-from laburnumbridge.runtime.udp_socket import UdpSocket
+from laburnumbridge.runtime.forwarding_path.return_path import ReturnPath
+from laburnumbridge.runtime.forwarding_path.stateless_reset import build_stateless_reset
+from laburnumbridge.runtime.forwarding_path.udp_socket import UdpSocket
+from laburnumbridge.runtime.guest_connections.guest_connection import GuestConnection
+from laburnumbridge.runtime.guest_connections.token_connection import TokenConnection
+from laburnumbridge.runtime.guest_requests.guest_request import ConnectionRecord
 from laburnumbridge.wire import Endpoint
 from laburnumbridge.wire import Frame
 from laburnumbridge.wire import FrameKind
@@ -33,9 +33,9 @@
     from aioquic.quic.configuration import QuicConfiguration
     from aioquic.quic.packet import QuicHeader
 
-    from laburnumbridge.runtime.connection_id_issuer import ConnectionIdIssuer
-    from laburnumbridge.runtime.request_recorder import RequestRecorder
-    from laburnumbridge.runtime.responder import RequestHandler
+    from laburnumbridge.runtime.guest_connections.connection_id_issuer import ConnectionIdIssuer
+    from laburnumbridge.runtime.guest_requests.request_recorder import RequestRecorder
+    from laburnumbridge.runtime.guest_requests.responder import RequestHandler
     from laburnumbridge.wire import Encapsulation
 
 MIN_INITIAL_BYTES = 1200
--- a/libs/runtime/src/laburnumbridge/runtime/flow_mover.py
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_connections/flow_mover.py
@@ -5,10 +5,10 @@
 import math
 from typing import TYPE_CHECKING
 
-from laburnumbridge.runtime.timer import PeriodicTimer
+from laburnumbridge.runtime.control.timer import PeriodicTimer
 
 if TYPE_CHECKING:
-    from laburnumbridge.runtime.flow_endpoint import FlowEndpoint
+    from laburnumbridge.runtime.guest_connections.flow_endpoint import FlowEndpoint
 
 # Spreads the handshakes of a drained upstream's guests over the siblings in time.
 DRAIN_SPREAD_S = 10.0
--- a/libs/runtime/src/laburnumbridge/runtime/guest_connection.py
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_connections/guest_connection.py
@@ -20,8 +20,8 @@
 from aioquic.quic.events import StreamReset
 
 from laburnumbridge.runtime.errors import GuestGoneError
-from laburnumbridge.runtime.guest_request import GuestRequest
-from laburnumbridge.runtime.responder import Responder
+from laburnumbridge.runtime.guest_requests.guest_request import GuestRequest
+from laburnumbridge.runtime.guest_requests.responder import Responder
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,10 +30,10 @@
     from aioquic.h3.events import H3Event
     from aioquic.quic.events import QuicEvent
 
-    from laburnumbridge.runtime.guest_request import ConnectionRecord
-    from laburnumbridge.runtime.responder import RequestHandler
-    from laburnumbridge.runtime.return_path import ReturnPath
-    from laburnumbridge.runtime.token_connection import TokenConnection
+    from laburnumbridge.runtime.forwarding_path.return_path import ReturnPath
+    from laburnumbridge.runtime.guest_connections.token_connection import TokenConnection
+    from laburnumbridge.runtime.guest_requests.guest_request import ConnectionRecord
+    from laburnumbridge.runtime.guest_requests.responder import RequestHandler
 
 KEEPALIVE_INTERVAL_S = 3.0
 UNSENT_LIMIT_BYTES = 256 * 1024
--- a/libs/runtime/src/laburnumbridge/runtime/placement_policy.py
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_connections/placement_policy.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 
 from laburnumbridge import placement as plc
-from laburnumbridge.runtime.flow_endpoint import HandshakePolicy
-from laburnumbridge.runtime.message_kinds import MessageKind
-from laburnumbridge.runtime.timer import PeriodicTimer
+from laburnumbridge.runtime.control.message_kinds import MessageKind
+from laburnumbridge.runtime.control.timer import PeriodicTimer
+from laburnumbridge.runtime.guest_connections.flow_endpoint import HandshakePolicy
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,7 +16,7 @@
 
     from laburnumbridge.core import AgentNumber
     from laburnumbridge.core import ProcessId
-    from laburnumbridge.runtime.control_link import ControlLink
+    from laburnumbridge.runtime.control.control_link import ControlLink
     from laburnumbridge.wire import Endpoint
 
 # Siblings hear of changes within this time. A burst of new flows otherwise goes by the hash
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of guests, from the connection to the upstream and back."""
--- a/libs/runtime/src/laburnumbridge/runtime/forwarded_requests.py
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_requests/forwarded_requests.py
@@ -10,21 +10,21 @@
 from laburnumbridge.core import PlanName
 from laburnumbridge.core import ProcessId
 from laburnumbridge.core import RequestId
-from laburnumbridge.runtime.grpc_sibling_calls import decode_headers
-from laburnumbridge.runtime.grpc_sibling_calls import decode_role
-from laburnumbridge.runtime.grpc_sibling_calls import encode_headers
-from laburnumbridge.runtime.grpc_sibling_calls import encode_refusal
-from laburnumbridge.runtime.pipeline_handler import deliver
-from laburnumbridge.runtime.responder import Responder
-from laburnumbridge.runtime.running_request import RequestContent
-from laburnumbridge.runtime.running_request import RunningRequest
+from laburnumbridge.runtime.guest_requests.grpc_sibling_calls import decode_headers
+from laburnumbridge.runtime.guest_requests.grpc_sibling_calls import decode_role
+from laburnumbridge.runtime.guest_requests.grpc_sibling_calls import encode_headers
+from laburnumbridge.runtime.guest_requests.grpc_sibling_calls import encode_refusal
+from laburnumbridge.runtime.guest_requests.pipeline_handler import deliver
+from laburnumbridge.runtime.guest_requests.responder import Responder
+from laburnumbridge.runtime.guest_requests.running_request import RequestContent
+from laburnumbridge.runtime.guest_requests.running_request import RunningRequest
 from laburnumbridge.wire import control_pb2
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from laburnumbridge.core import Refusal
-    from laburnumbridge.runtime.request_runner import RequestRunner
+    from laburnumbridge.runtime.guest_requests.request_runner import RequestRunner
 
 _MILLISECONDS = 1000
 
--- a/libs/runtime/src/laburnumbridge/runtime/grpc_sibling_calls.py
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_requests/grpc_sibling_calls.py
@@ -13,9 +13,9 @@
 from laburnumbridge.requests import StoredAnswer
 from laburnumbridge.runtime.errors import SiblingLostError
 from laburnumbridge.runtime.errors import SiblingNotReachedError
-from laburnumbridge.runtime.sibling_calls import ForwardedAnswer
-from laburnumbridge.runtime.sibling_calls import ForwardedOutcome
-from laburnumbridge.runtime.sibling_calls import SiblingCalls
+from laburnumbridge.runtime.guest_requests.sibling_calls import ForwardedAnswer
+from laburnumbridge.runtime.guest_requests.sibling_calls import ForwardedOutcome
+from laburnumbridge.runtime.guest_requests.sibling_calls import SiblingCalls
 from laburnumbridge.wire import control_pb2
 from laburnumbridge.wire import control_pb2_grpc
 
@@ -24,7 +24,7 @@
     from collections.abc import Iterable
 
     from laburnumbridge.core import ProcessId
-    from laburnumbridge.runtime.sibling_calls import ForwardedRequest
+    from laburnumbridge.runtime.guest_requests.sibling_calls import ForwardedRequest
     from laburnumbridge.wire import ChannelPool
     from laburnumbridge.wire import Endpoint
 
--- a/libs/runtime/src/laburnumbridge/runtime/pipeline_handler.py
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_requests/pipeline_handler.py
@@ -14,17 +14,17 @@
 from laburnumbridge.core import RequestId
 from laburnumbridge.core import hash64
 from laburnumbridge.limits import Work
-from laburnumbridge.runtime import answer_steps as steps
 from laburnumbridge.runtime.errors import GuestGoneError
 from laburnumbridge.runtime.errors import UpstreamLostError
 from laburnumbridge.runtime.errors import UpstreamNotReachedError
-from laburnumbridge.runtime.responder import DEADLINE_HEADER
-from laburnumbridge.runtime.responder import FIRST_ATTEMPT_HEADER
-from laburnumbridge.runtime.responder import KEY_HEADER
-from laburnumbridge.runtime.responder import RequestHandler
-from laburnumbridge.runtime.running_request import RequestContent
-from laburnumbridge.runtime.running_request import RunningRequest
-from laburnumbridge.runtime.upstream_client import UpstreamRequest
+from laburnumbridge.runtime.guest_requests import answer_steps as steps
+from laburnumbridge.runtime.guest_requests.responder import DEADLINE_HEADER
+from laburnumbridge.runtime.guest_requests.responder import FIRST_ATTEMPT_HEADER
+from laburnumbridge.runtime.guest_requests.responder import KEY_HEADER
+from laburnumbridge.runtime.guest_requests.responder import RequestHandler
+from laburnumbridge.runtime.guest_requests.running_request import RequestContent
+from laburnumbridge.runtime.guest_requests.running_request import RunningRequest
+from laburnumbridge.runtime.guest_requests.upstream_client import UpstreamRequest
 from laburnumbridge.telemetry import Outcome
 
 if TYPE_CHECKING:
@@ -32,13 +32,13 @@
 
     from laburnumbridge.core import PlanName
     from laburnumbridge.lists import Identity
-    from laburnumbridge.runtime.guest_request import ConnectionRecord
-    from laburnumbridge.runtime.guest_request import GuestRequest
-    from laburnumbridge.runtime.lease_driver import LeaseDriver
-    from laburnumbridge.runtime.request_recorder import RequestRecorder
-    from laburnumbridge.runtime.request_runner import RequestRunner
-    from laburnumbridge.runtime.responder import Responder
-    from laburnumbridge.runtime.upstream_client import UpstreamClient
+    from laburnumbridge.runtime.control.lease_driver import LeaseDriver
+    from laburnumbridge.runtime.guest_requests.guest_request import ConnectionRecord
+    from laburnumbridge.runtime.guest_requests.guest_request import GuestRequest
+    from laburnumbridge.runtime.guest_requests.request_recorder import RequestRecorder
+    from laburnumbridge.runtime.guest_requests.request_runner import RequestRunner
+    from laburnumbridge.runtime.guest_requests.responder import Responder
+    from laburnumbridge.runtime.guest_requests.upstream_client import UpstreamClient
 
 MAX_BODY_BYTES = 1024 * 1024
 
--- a/libs/runtime/src/laburnumbridge/runtime/request_runner.py
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_requests/request_runner.py
@@ -7,30 +7,30 @@
 
 from laburnumbridge import admission as adm
 from laburnumbridge import requests as req
-from laburnumbridge.runtime import answer_steps as steps
+from laburnumbridge.runtime.control.message_kinds import MessageKind
+from laburnumbridge.runtime.control.timer import PeriodicTimer
 from laburnumbridge.runtime.errors import SiblingLostError
 from laburnumbridge.runtime.errors import SiblingNotReachedError
 from laburnumbridge.runtime.errors import UpstreamLostError
 from laburnumbridge.runtime.errors import UpstreamNotReachedError
-from laburnumbridge.runtime.message_kinds import MessageKind
-from laburnumbridge.runtime.responder import DEADLINE_HEADER
-from laburnumbridge.runtime.sibling_calls import ForwardedOutcome
-from laburnumbridge.runtime.sibling_calls import ForwardedRequest
-from laburnumbridge.runtime.timer import PeriodicTimer
-from laburnumbridge.runtime.upstream_client import UpstreamRequest
+from laburnumbridge.runtime.guest_requests import answer_steps as steps
+from laburnumbridge.runtime.guest_requests.responder import DEADLINE_HEADER
+from laburnumbridge.runtime.guest_requests.sibling_calls import ForwardedOutcome
+from laburnumbridge.runtime.guest_requests.sibling_calls import ForwardedRequest
+from laburnumbridge.runtime.guest_requests.upstream_client import UpstreamRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from laburnumbridge.core import ProcessId
     from laburnumbridge.core import RequestId
-    from laburnumbridge.runtime.control_link import ControlLink
-    from laburnumbridge.runtime.request_recorder import RequestRecorder
-    from laburnumbridge.runtime.running_request import RunningRequest
-    from laburnumbridge.runtime.sibling_calls import ForwardedAnswer
-    from laburnumbridge.runtime.sibling_calls import SiblingCalls
-    from laburnumbridge.runtime.upstream_client import UpstreamAnswer
-    from laburnumbridge.runtime.upstream_client import UpstreamClient
+    from laburnumbridge.runtime.control.control_link import ControlLink
+    from laburnumbridge.runtime.guest_requests.request_recorder import RequestRecorder
+    from laburnumbridge.runtime.guest_requests.running_request import RunningRequest
+    from laburnumbridge.runtime.guest_requests.sibling_calls import ForwardedAnswer
+    from laburnumbridge.runtime.guest_requests.sibling_calls import SiblingCalls
+    from laburnumbridge.runtime.guest_requests.upstream_client import UpstreamAnswer
+    from laburnumbridge.runtime.guest_requests.upstream_client import UpstreamClient
 
 TICK_S = 0.05
 # Answers above this size are passed on but not kept for repeats of a key.
--- a/libs/runtime/src/laburnumbridge/runtime/responder.py
+++ b/libs/runtime/src/laburnumbridge/runtime/guest_requests/responder.py
@@ -12,8 +12,8 @@
     from collections.abc import Sequence
 
     from laburnumbridge.core import Refusal
-    from laburnumbridge.runtime.guest_request import ConnectionRecord
-    from laburnumbridge.runtime.guest_request import GuestRequest
+    from laburnumbridge.runtime.guest_requests.guest_request import ConnectionRecord
+    from laburnumbridge.runtime.guest_requests.guest_request import GuestRequest
 
 REFUSAL_HEADER = "laburnumbridge-refusal"
 OUTCOME_HEADER = "laburnumbridge-outcome"
--- a/libs/runtime/src/laburnumbridge/runtime/process_core.py
+++ b/libs/runtime/src/laburnumbridge/runtime/process_core.py
@@ -11,13 +11,13 @@
 from laburnumbridge.core import ProcessId
 from laburnumbridge.core import hash64
 from laburnumbridge.membership import MemberState
-from laburnumbridge.runtime.configuration_driver import ConfigurationDriver
-from laburnumbridge.runtime.control_link import DatagramControlLink
-from laburnumbridge.runtime.control_server import ControlServer
-from laburnumbridge.runtime.control_server import ControlServicer
-from laburnumbridge.runtime.fleet_view import FleetView
-from laburnumbridge.runtime.membership_driver import MembershipDriver
-from laburnumbridge.runtime.platform_client import PlatformClient
+from laburnumbridge.runtime.control.control_link import DatagramControlLink
+from laburnumbridge.runtime.control.control_server import ControlServer
+from laburnumbridge.runtime.control.control_server import ControlServicer
+from laburnumbridge.runtime.control.membership_driver import MembershipDriver
+from laburnumbridge.runtime.published_lists.configuration_driver import ConfigurationDriver
+from laburnumbridge.runtime.published_lists.fleet_view import FleetView
+from laburnumbridge.runtime.published_lists.platform_client import PlatformClient
 from laburnumbridge.runtime.telemetry_service import TelemetryService
 from laburnumbridge.telemetry import Decision
 from laburnumbridge.telemetry import DecisionRing
@@ -38,7 +38,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from laburnumbridge.runtime.forwarded_requests import ForwardedRequests
+    from laburnumbridge.runtime.guest_requests.forwarded_requests import ForwardedRequests
     from laburnumbridge.settings import ProcessSettings
     from laburnumbridge.telemetry import UpstreamLoad
 
--- /dev/null
+++ b/libs/runtime/src/laburnumbridge/runtime/published_lists/__init__.py
@@ -0,0 +1,1 @@
+"""The lists that the platform publishes, and their versions."""
--- a/libs/runtime/src/laburnumbridge/runtime/agent_fleet.py
+++ b/libs/runtime/src/laburnumbridge/runtime/published_lists/agent_fleet.py
@@ -10,17 +10,17 @@
 from laburnumbridge.core import ProcessId
 from laburnumbridge.membership import MemberState
 from laburnumbridge.placement import SiblingState
-from laburnumbridge.runtime.timer import PeriodicTimer
+from laburnumbridge.runtime.control.timer import PeriodicTimer
 from laburnumbridge.wire import Endpoint
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from laburnumbridge.lists import Vm
-    from laburnumbridge.runtime.lease_driver import LeaseDriver
-    from laburnumbridge.runtime.placement_policy import PlacementPolicy
+    from laburnumbridge.runtime.control.lease_driver import LeaseDriver
+    from laburnumbridge.runtime.guest_connections.placement_policy import PlacementPolicy
+    from laburnumbridge.runtime.guest_requests.request_runner import RequestRunner
     from laburnumbridge.runtime.process_core import ProcessCore
-    from laburnumbridge.runtime.request_runner import RequestRunner
 
 _SIBLING_STATES = {
     MemberState.LIVE: SiblingState.LIVE,
--- a/libs/runtime/src/laburnumbridge/runtime/configuration_driver.py
+++ b/libs/runtime/src/laburnumbridge/runtime/published_lists/configuration_driver.py
@@ -14,12 +14,12 @@
 from laburnumbridge.core import hash64
 from laburnumbridge.lists import InvalidListError
 from laburnumbridge.lists import parse_list
+from laburnumbridge.runtime.control.message_kinds import MessageKind
+from laburnumbridge.runtime.control.timer import PeriodicTimer
 from laburnumbridge.runtime.errors import PlatformUnavailableError
-from laburnumbridge.runtime.fleet_view import MODEL_BY_NAME
-from laburnumbridge.runtime.message_kinds import MessageKind
-from laburnumbridge.runtime.peer_versions import PeerVersions
-from laburnumbridge.runtime.timer import PeriodicTimer
-from laburnumbridge.runtime.version_digests import VersionDigests
+from laburnumbridge.runtime.published_lists.fleet_view import MODEL_BY_NAME
+from laburnumbridge.runtime.published_lists.peer_versions import PeerVersions
+from laburnumbridge.runtime.published_lists.version_digests import VersionDigests
 from laburnumbridge.telemetry import Event
 from laburnumbridge.wire import control_pb2
 from laburnumbridge.wire import control_pb2_grpc
@@ -29,9 +29,9 @@
     from collections.abc import Iterable
 
     from laburnumbridge.core import Incarnation
-    from laburnumbridge.runtime.control_link import ControlLink
-    from laburnumbridge.runtime.fleet_view import FleetView
-    from laburnumbridge.runtime.platform_client import PlatformClient
+    from laburnumbridge.runtime.control.control_link import ControlLink
+    from laburnumbridge.runtime.published_lists.fleet_view import FleetView
+    from laburnumbridge.runtime.published_lists.platform_client import PlatformClient
     from laburnumbridge.telemetry import EventLog
     from laburnumbridge.wire import ChannelPool
 
--- a/libs/runtime/tests/test_suspect_packets.py
+++ b/libs/runtime/tests/forwarding_path/test_suspect_packets.py
@@ -1,8 +1,8 @@
 from __future__ import annotations
 
 from laburnumbridge.core import AgentNumber
-from laburnumbridge.runtime.suspect_packets import MAX_PACKETS
-from laburnumbridge.runtime.suspect_packets import SuspectPackets
+from laburnumbridge.runtime.forwarding_path.suspect_packets import MAX_PACKETS
+from laburnumbridge.runtime.forwarding_path.suspect_packets import SuspectPackets
 
 AGENT = AgentNumber(4)
 OTHER = AgentNumber(5)
--- a/libs/runtime/tests/test_token_connection.py
+++ b/libs/runtime/tests/guest_connections/test_token_connection.py
@@ -12,9 +12,9 @@
 from laburnumbridge.routing import CONNECTION_ID_BYTES
 from laburnumbridge.routing import RoutingToken
 from laburnumbridge.routing import TokenCodec
-from laburnumbridge.runtime.connection_id_issuer import ConnectionIdIssuer
-from laburnumbridge.runtime.token_connection import MAX_CONNECTION_IDS
-from laburnumbridge.runtime.token_connection import TokenConnection
+from laburnumbridge.runtime.guest_connections.connection_id_issuer import ConnectionIdIssuer
+from laburnumbridge.runtime.guest_connections.token_connection import MAX_CONNECTION_IDS
+from laburnumbridge.runtime.guest_connections.token_connection import TokenConnection
 from laburnumbridge.standins.certificates import CertificateAuthority
 
 if TYPE_CHECKING:
--- a/libs/runtime/tests/test_peer_versions.py
+++ b/libs/runtime/tests/published_lists/test_peer_versions.py
@@ -2,8 +2,8 @@
 
 from laburnumbridge.configuration import ValueDigest
 from laburnumbridge.core import ProcessId
-from laburnumbridge.runtime.peer_versions import ASKED_AT_ONCE
-from laburnumbridge.runtime.peer_versions import PeerVersions
+from laburnumbridge.runtime.published_lists.peer_versions import ASKED_AT_ONCE
+from laburnumbridge.runtime.published_lists.peer_versions import PeerVersions
 
 OWN = ProcessId("balancer-1")
 PEERS = [ProcessId(f"agent-{number}") for number in range(7)]
--- a/libs/standins/src/laburnumbridge/standins/benchmarks/capacity.py
+++ b/libs/standins/src/laburnumbridge/standins/benchmarks/capacity.py
@@ -22,8 +22,8 @@
 from laburnumbridge.routing import AgentRoute
 from laburnumbridge.routing import AgentState
 from laburnumbridge.routing import Router
-from laburnumbridge.runtime.control_link import DatagramControlLink
-from laburnumbridge.runtime.message_kinds import MessageKind
+from laburnumbridge.runtime.control.control_link import DatagramControlLink
+from laburnumbridge.runtime.control.message_kinds import MessageKind
 from laburnumbridge.standins.benchmarks.forwarding_target import make_codec
 from laburnumbridge.standins.benchmarks.handshake import HandshakeBenchmark
 from laburnumbridge.wire import Endpoint
--- a/libs/standins/src/laburnumbridge/standins/benchmarks/forwarding_target.py
+++ b/libs/standins/src/laburnumbridge/standins/benchmarks/forwarding_target.py
@@ -18,7 +18,7 @@
 from laburnumbridge.routing import Router
 from laburnumbridge.routing import RoutingToken
 from laburnumbridge.routing import TokenCodec
-from laburnumbridge.runtime.balancer_forwarder import BalancerForwarder
+from laburnumbridge.runtime.forwarding_path.balancer_forwarder import BalancerForwarder
 from laburnumbridge.standins.benchmarks.flow_balancer_target import make_flow_packets
 from laburnumbridge.standins.benchmarks.flow_balancer_target import serve_flow_balancer
 from laburnumbridge.wire import Encapsulation
--- a/libs/standins/src/laburnumbridge/standins/fabric.py
+++ b/libs/standins/src/laburnumbridge/standins/fabric.py
@@ -17,7 +17,7 @@
 import uvloop
 from aiohttp import web
 
-from laburnumbridge.runtime.udp_socket import UdpSocket
+from laburnumbridge.runtime.forwarding_path.udp_socket import UdpSocket
 from laburnumbridge.wire import Endpoint
 
 MAX_GUESTS = 5000
--- a/libs/standins/tests/test_bad_input.py
+++ b/libs/standins/tests/test_bad_input.py
@@ -15,7 +15,7 @@
 from laburnumbridge.core import Incarnation
 from laburnumbridge.core import ProcessId
 from laburnumbridge.core import ServiceNumber
-from laburnumbridge.runtime.control_link import Envelope
+from laburnumbridge.runtime.control.control_link import Envelope
 from laburnumbridge.standins.guest_fleet import GuestFleet
 from laburnumbridge.standins.harness import CONTROL_KEY
 from laburnumbridge.standins.harness import CONTROL_PORT
--- a/scenarios/steps/balancers.py
+++ b/scenarios/steps/balancers.py
@@ -26,9 +26,9 @@
 from laburnumbridge.routing import Router
 from laburnumbridge.routing import RouteToAgent
 from laburnumbridge.routing import SendStatelessReset
-from laburnumbridge.runtime.connection_id_issuer import ConnectionIdIssuer
-from laburnumbridge.runtime.fleet_view import FleetView
-from laburnumbridge.runtime.route_table import build_routes
+from laburnumbridge.runtime.forwarding_path.route_table import build_routes
+from laburnumbridge.runtime.guest_connections.connection_id_issuer import ConnectionIdIssuer
+from laburnumbridge.runtime.published_lists.fleet_view import FleetView
 
 SERVICE_NUMBERS = {"desk": 1, "store": 2}
 SERVICE_BY_AGENT = {1: "desk", 2: "desk", 3: "desk", 4: "store", 5: "store"}
