--- a/scenarios/steps/agent.py
+++ b/scenarios/steps/agent.py
@@ -17,8 +17,8 @@
 from laburnumbridge.core import Incarnation
 from laburnumbridge.core import ServiceNumber
 from laburnumbridge.routing import TokenCodec
-from laburnumbridge.runtime.guest_connections import flow_endpoint
 from laburnumbridge.runtime.forwarding_path.return_path import ReturnPath
+from laburnumbridge.runtime.guest_connections import flow_endpoint
 from laburnumbridge.runtime.guest_connections.connection_id_issuer import ConnectionIdIssuer
 from laburnumbridge.runtime.guest_connections.flow_mover import FlowMover
 from laburnumbridge.wire import Encapsulation
