Report refused socket operations, and keep one copy of a hand-over step

Cause: a send or receive that the system refused was counted in a field that nobody read, and an accept or a read of the settings file that failed left no trace. Two modules held the same threshold for copies of an opening packet, the agent passed openings on in two places, and the start of an upstream was decoded and shown nowhere.

UpstreamChoice holds the threshold. One method passes an opening on, so a held opening that moves is logged as well. The log line of a changed upstream has its start.

--- a/libs/flows/src/laburnumbridge/flows/flow_directory.py
+++ b/libs/flows/src/laburnumbridge/flows/flow_directory.py
@@ -81,10 +81,6 @@
         """Requests at work, and flows that are about to send their first request."""
         return len(self._busy)
 
-    def flows_open(self) -> list[FlowKey]:
-        """Return the keys of all open flows."""
-        return [flow for flow, record in self._by_flow.items() if record.state is FlowState.OPEN]
-
     def opened_at_by_flow(self) -> dict[FlowKey, float]:
         """Return when each open flow was opened."""
         return {
--- a/libs/flows/src/laburnumbridge/flows/upstream_choice.py
+++ b/libs/flows/src/laburnumbridge/flows/upstream_choice.py
@@ -14,6 +14,8 @@
 
 PENDING_S = 0.05
 """How long an own placement counts before the agent's report shows it: two report intervals."""
+COPY_S = 0.15
+"""A client copies its opening packet after 0.2 s: an agent silent until then has not taken it."""
 SILENCE_S = 0.5
 """An agent answers packets with a load report within 0.1 s; one that doesn't stands still."""
 CUT_OFF_S = 0.7
@@ -78,6 +80,10 @@
         """Return how long ``agent`` has left packets unanswered."""
         return now - self._unanswered_since_by_agent.get(agent, now)
 
+    def has_answered(self, agent: str, now: float) -> bool:
+        """Return whether a copy of an opening packet should follow the first one to ``agent``."""
+        return self.silence_s(agent, now) < COPY_S
+
     def report(self, agent: str, report: LoadReport, now: float) -> None:
         """Take in a load report."""
         self.heard(agent, now)
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -63,8 +63,6 @@
 """Openings that one upstream can't run within ``HOLD_S`` at 5 ms a request."""
 SLOTS_PER_SPARE_REQUEST = 4
 """A handshake takes about 5 ms, a tenth of a request: a quarter more than the slots covers it."""
-COPY_S = 0.15
-"""A client copies its opening packet after 0.2 s: an agent silent until then has not taken it."""
 UPKEEP_S = 0.05
 EXPIRY_S = 0.5
 SETTLED_S = 0.3
@@ -210,7 +208,7 @@
     def _on_opening(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         taken_over_by = self._handed_over.get(packet.flow, now)
         if taken_over_by is not None and envelope.hops == 0:
-            if self._choice.silence_s(taken_over_by, now) < COPY_S:
+            if self._choice.has_answered(taken_over_by, now):
                 self._pass_on(envelope, taken_over_by, SearchStage.DIRECT)
                 return
             envelope = replace(envelope, tried=(taken_over_by,))
@@ -280,11 +278,8 @@
             waiting_newest = self._waiting.pop_newest() if agent is not None else None
             if agent is None or waiting_newest is None:
                 return
-            envelope = replace(waiting_newest.item, tried=(own,))
-            self._choice.sent(agent, now)
-            self._handed_over.put(waiting_newest.flow, agent, now)
-            self.metrics.count("flows_handed_over_total", "waiting")
-            self._pass_on(envelope, agent, SearchStage.DIRECT)
+            envelope = replace(waiting_newest.item, tried=())
+            self._give(waiting_newest.flow, envelope, agent, "waiting", now)
 
     def _reason_to_hand_over(self, envelope: Envelope) -> str | None:
         if envelope.service_tag != self._own_tag:
@@ -306,22 +301,26 @@
             agent = self._choice.choose(others, is_long=False, now=now, excluded=(own,))
         if agent is None:
             return False
+        self._give(packet.flow, envelope, agent, reason, now)
+        return True
+
+    def _give(self, flow: FlowKey, envelope: Envelope, agent: str, reason: str, now: float) -> None:
+        """Pass an opening packet on to ``agent`` and remember it for the packet's copies."""
         self._choice.sent(agent, now)
-        self._handed_over.put(packet.flow, agent, now)
+        self._handed_over.put(flow, agent, now)
         self.metrics.count("flows_handed_over_total", reason)
         self.log.write(
             Event.FLOW_HANDED_OVER,
             outcome=reason,
-            flow=flow_text(packet.flow),
+            flow=flow_text(flow),
             agent=agent,
             hops=envelope.hops,
             busy=self._flows.busy,
             slots=self._slots,
             revision=self.view.catalog.revision,
         )
-        tried = (*envelope.tried, own)
+        tried = (*envelope.tried, self.settings.address)
         self._pass_on(replace(envelope, tried=tried), agent, SearchStage.DIRECT)
-        return True
 
     def _on_flow_packet(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         if self._flows.client_packet(packet, now):
@@ -485,7 +484,7 @@
             upstream=self._upstream_endpoint[0],
             flows=self._flows.open_flows,
         )
-        for flow in self._flows.flows_open():
+        for flow in self._flows.opened_at_by_flow():
             record = self._flows.get(flow)
             if record is not None:
                 self._reset(flow, record.client_acknowledged, "upstream_down")
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -37,8 +37,6 @@
 """Above the idle time-out of flows; an older flow is found by a search."""
 AVOID_S = 1.0
 """How long an agent that left an opening packet unanswered gets no new flow."""
-COPY_S = 0.15
-"""A client sends a packet again after 0.2 s; an agent reports its load sooner."""
 QUIET_S = 0.6
 """The fabric asks for readiness twice a second, so a balancer out of rotation is quiet by then."""
 MIN_STOP_S = 1.2
@@ -142,7 +140,7 @@
         excluded: tuple[str, ...] = ()
         if known is not None:
             # A copy of an opening packet. An agent that has answered since has the first one.
-            if self._choice.silence_s(known, now) < COPY_S:
+            if self._choice.has_answered(known, now):
                 self._send(packet, known, tag, SearchStage.DIRECT, now)
                 return
             self._choice.avoid(known, now + AVOID_S)
@@ -176,7 +174,7 @@
         tag = self._tag(route, packet.flow)
         ranking = self.directory.ranking(tag)
         agent = self._agent_by_flow.touch(packet.flow, now)
-        if agent is not None and (agent in ranking or self._choice.silence_s(agent, now) < COPY_S):
+        if agent is not None and (agent in ranking or self._choice.has_answered(agent, now)):
             self._send(packet, agent, tag, SearchStage.DIRECT, now)
             return
         # Unknown here, or at an agent that is no longer listed and doesn't answer.
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -67,6 +67,7 @@
         self.packet_codec = packet_codec
         self.log = log
         self.metrics = Metrics()
+        network.on_fault = self._on_network_fault
         self.is_stopping = False
         self._packet_port = settings.packet_port
         self.view = ViewSharing(
@@ -162,6 +163,10 @@
         age_s = self.view.catalog.confirmed_age_s(self.loop.now())
         return None if age_s is None else round(age_s, 3)
 
+    def _on_network_fault(self, operation: str, reason: str) -> None:
+        self.metrics.count("network_faults_total", f"{operation}_{reason}")
+        self.log.write(Event.NETWORK_FAULT, outcome=operation, reason=reason)
+
     def _on_view_change(self, update: CatalogUpdate) -> None:
         self.directory.apply(update, self.loop.now())
         self.on_view_change(update)
@@ -185,8 +190,10 @@
     def _reload(self) -> None:
         try:
             text = self._settings_path.read_bytes()
-        except OSError:
-            return  # being replaced; the next check is due in half a second
+        except OSError as error:
+            # Being replaced, as a rule; the next check is due in half a second.
+            self.log.write(Event.SETTINGS_RELOADED, outcome="unreadable", reason=str(error))
+            return
         if text == self._settings_text:
             return
         self._settings_text = text
--- a/libs/forwarding/src/laburnumbridge/forwarding/network.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/network.py
@@ -65,9 +65,7 @@
 
 
 class DatagramPort(ABC):
-    """A UDP socket; ``dropped`` counts datagrams that were not sent."""
-
-    dropped: int = 0
+    """A UDP socket."""
 
     @abstractmethod
     def start(self) -> None:
@@ -124,7 +122,14 @@
 
 
 class Network(ABC):
-    """Opens sockets."""
+    """Opens sockets.
+
+    ``on_fault`` is told of errors that no caller sees: the operation and the system's reason. Set
+    it before sockets are started.
+    """
+
+    def __init__(self) -> None:
+        self.on_fault: Callable[[str, str], None] = lambda _operation, _reason: None
 
     @abstractmethod
     def datagram_port(
--- a/libs/forwarding/src/laburnumbridge/forwarding/socket_datagram_port.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/socket_datagram_port.py
@@ -30,12 +30,13 @@
         loop: EventLoop,
         endpoint: Endpoint,
         on_datagram: Callable[[bytes, Endpoint], None],
+        on_fault: Callable[[str, OSError], None],
     ) -> None:
         self._loop = loop
         self._endpoint = endpoint
         self._on_datagram = on_datagram
+        self._on_fault = on_fault
         self._socket: socket.socket | None = None
-        self.dropped = 0
 
     def start(self) -> None:
         """Bind the socket. Raises OSError."""
@@ -56,13 +57,12 @@
     def send(self, datagram: bytes, endpoint: Endpoint) -> bool:
         """Send one datagram; False if it was dropped here."""
         if self._socket is None:
-            self.dropped += 1
             return False
         try:
             self._socket.sendto(datagram, endpoint)
-        except OSError:
+        except OSError as error:
             # Full buffers and unreachable peers look like loss to the flow, which retransmits.
-            self.dropped += 1
+            self._on_fault("send", error)
             return False
         return True
 
@@ -74,8 +74,8 @@
                 datagram, endpoint = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 return
-            except OSError:
+            except OSError as error:
                 # An ICMP error of an earlier send is reported on the next receive.
-                self.dropped += 1
+                self._on_fault("receive", error)
                 continue
             self._on_datagram(datagram, endpoint)
--- a/libs/forwarding/src/laburnumbridge/forwarding/socket_network.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/socket_network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from typing import TYPE_CHECKING
 
 from laburnumbridge.forwarding.network import ByteStream
@@ -21,20 +22,29 @@
     """Opens non-blocking sockets in an event loop."""
 
     def __init__(self, *, loop: EventLoop) -> None:
+        super().__init__()
         self._loop = loop
 
     def datagram_port(
         self, endpoint: Endpoint, on_datagram: Callable[[bytes, Endpoint], None]
     ) -> SocketDatagramPort:
         """Return an unbound UDP socket."""
-        return SocketDatagramPort(loop=self._loop, endpoint=endpoint, on_datagram=on_datagram)
+        return SocketDatagramPort(
+            loop=self._loop, endpoint=endpoint, on_datagram=on_datagram, on_fault=self._report
+        )
 
     def listener(
         self, endpoint: Endpoint, on_connection: Callable[[ByteStream, Endpoint], None]
     ) -> SocketListener:
         """Return a TCP listener that isn't started."""
-        return SocketListener(loop=self._loop, endpoint=endpoint, on_connection=on_connection)
+        return SocketListener(
+            loop=self._loop, endpoint=endpoint, on_connection=on_connection, on_fault=self._report
+        )
 
     def connect(self, endpoint: Endpoint) -> ByteStream:
         """Begin to connect."""
         return SocketStream.connect(loop=self._loop, endpoint=endpoint)
+
+    def _report(self, operation: str, error: OSError) -> None:
+        name = errno.errorcode.get(error.errno or 0, "")
+        self.on_fault(operation, name or str(error))
--- a/libs/forwarding/src/laburnumbridge/forwarding/socket_stream.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/socket_stream.py
@@ -131,10 +131,12 @@
         loop: EventLoop,
         endpoint: Endpoint,
         on_connection: Callable[[ByteStream, Endpoint], None],
+        on_fault: Callable[[str, OSError], None],
     ) -> None:
         self._loop = loop
         self._endpoint = endpoint
         self._on_connection = on_connection
+        self._on_fault = on_fault
         self._socket: socket.socket | None = None
 
     def start(self) -> None:
@@ -158,7 +160,10 @@
         while self._socket is not None:
             try:
                 connection, endpoint = self._socket.accept()
-            except OSError:
-                return  # nothing more to accept, or the connection has gone already
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._on_fault("accept", error)
+                return
             stream = SocketStream(loop=self._loop, connection=connection, is_connected=True)
             self._on_connection(stream, endpoint)
--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -272,6 +272,7 @@
                 upstream=entry.name,
                 service=entry.service,
                 agent=entry.address,
+                started_ms=entry.started_ms,
                 revision=entry.revision,
                 source=source,
             )
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_world.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_world.py
@@ -262,6 +262,7 @@
     """The network as one simulated process sees it."""
 
     def __init__(self, *, loop: SimulatedLoop) -> None:
+        super().__init__()
         self._loop = loop
         self._streams: list[SimulatedStream] = []
 
