Move the search for a flow's agent out of the agent

Cause: flow_agent.py held openings and searches in one module of 536 lines.

Change: FlowSearch passes packets on and decides when a search has failed; no behaviour changes.

--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -30,6 +31,7 @@
 from laburnumbridge.flows.peer_datagrams import encode_flows
 from laburnumbridge.flows.peer_datagrams import encode_load
 from laburnumbridge.forwarding.endpoints import parse_endpoint
+from laburnumbridge.forwarding.flow_search import FlowSearch
 from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
 from laburnumbridge.forwarding.forwarding_process import flow_text
 from laburnumbridge.forwarding.load_reporter import REPORT_INTERVAL_S
@@ -51,8 +53,6 @@
 """Covers an opening packet's copies and the answer's way through the first agent."""
 MAX_HANDOVERS = 3
 """The fourth agent takes an opening packet though it is busy: a fifth would hardly be free."""
-MAX_HOPS = 200
-"""Ends a search whose agents disagree; the ranking alone ends all others."""
 UNKNOWN_SLOTS = 16
 """Until the upstream's entry is known nothing is held back: the upstream has a queue of its own."""
 HOLD_S = 1.2
@@ -65,13 +65,6 @@
 """A handshake takes about 5 ms, a tenth of a request: a quarter more than the slots covers it."""
 UPKEEP_S = 0.05
 EXPIRY_S = 0.5
-SETTLED_S = 0.3
-"""A search that found nothing counts only when the list of agents has not changed for so long;
-news reaches all processes within a tenth of it."""
-REPEATED_SEARCHES_LIMIT = 512
-"""Packets that wait for a second search; at 1.3 KB each they stay below a megabyte."""
-FRESH_VIEW_S = 5.0
-"""A watch of the platform confirms the view within 4 s."""
 STOP_WAIT_S = 0.3
 """A planned stop lets requests that are at work end; three times the mean time of one."""
 DELIVERIES_LIMIT = 4_096
@@ -107,7 +100,9 @@
         self._choice = UpstreamChoice(seed=hash64(self.settings.process.encode()))
         self._delivered_by_echo: dict[int, Envelope] = {}
         self._next_echo = 1
-        self._searches_to_repeat = 0
+        self._search = FlowSearch(
+            process=self, pass_on=self._pass_on, reset=partial(self._reset, reason="not_found")
+        )
         self._reporter = LoadReporter(port=self.peers, peer_port=self.settings.peer_port)
         self._waiting: OpeningQueue[Envelope] = OpeningQueue(patience_s=HOLD_S, limit=HELD_LIMIT)
         self._was_listed = False
@@ -328,8 +323,7 @@
                 self._locate(packet.flow, envelope.entry_address)
             self._deliver(packet, envelope)
             return
-        if envelope.hops >= MAX_HOPS:
-            self.drop("hops", flow=flow_text(packet.flow))
+        if self._search.has_lost_its_way(packet, envelope):
             return
         if envelope.stage is not SearchStage.RANKED_NO_RECORDS:
             agent = self._handed_over.get(packet.flow, now)
@@ -340,57 +334,12 @@
                 self._pass_on(envelope, agent, SearchStage.RECORDED)
                 return
         if self._upstream.is_down:
-            self._search_on(packet, envelope, now)
+            self._search.pass_on(packet, envelope, now)
             return
         # The upstream may hold a flow that this process, started later, has not seen.
         self._entry_by_flow.put(packet.flow, envelope.entry_address, now)
         self._deliver(packet, envelope)
 
-    def _search_on(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
-        """Pass a packet on whose flow is not here."""
-        ranking = self.directory.ranking(envelope.service_tag)
-        own = self.settings.address
-        stage = envelope.stage
-        if stage in (SearchStage.DIRECT, SearchStage.RECORDED):
-            is_direct = stage is SearchStage.DIRECT
-            stage = SearchStage.RANKED if is_direct else SearchStage.RANKED_NO_RECORDS
-            agent = ranking.first(packet.flow)
-            if agent == own:
-                agent = ranking.next_after(packet.flow, own)
-        else:
-            agent = ranking.next_after(packet.flow, own)
-        if agent is not None:
-            self.metrics.count("search_hops_total")
-            self._pass_on(envelope, agent, stage)
-            return
-        self._end_search(packet, envelope, now)
-
-    def _end_search(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
-        """No agent holds the flow: tell the client, if this process can be sure of that.
-
-        Otherwise search once more a little later: the client sends its packet again only after
-        up to 1.6 s.
-        """
-        age_s = self.view.catalog.confirmed_age_s(now)
-        is_settled = now - self.directory.agents_changed_at > SETTLED_S
-        if packet.is_reset:
-            self.drop("flow_over", flow=flow_text(packet.flow), hops=envelope.hops)
-        elif age_s is not None and age_s <= FRESH_VIEW_S and is_settled:
-            self._reset(packet.flow, packet.acknowledged, "not_found")
-        elif self._searches_to_repeat < REPEATED_SEARCHES_LIMIT:
-            self._searches_to_repeat += 1
-            self.loop.call_later(SETTLED_S, lambda: self._repeat_search(packet, envelope))
-        else:
-            self.drop("not_found_yet", flow=flow_text(packet.flow), hops=envelope.hops)
-
-    def _repeat_search(self, packet: FlowPacket, envelope: Envelope) -> None:
-        self._searches_to_repeat -= 1
-        if envelope.hops >= MAX_HOPS:
-            self.drop("hops", flow=flow_text(packet.flow))
-            return
-        again = replace(envelope, stage=SearchStage.RECORDED)
-        self._search_on(packet, again, self.loop.now())
-
     def _pass_on(self, envelope: Envelope, agent: str, stage: SearchStage) -> None:
         passed = replace(envelope, hops=min(envelope.hops + 1, 255), stage=stage)
         self.peers.send(encode_envelope(passed), (agent, self.settings.peer_port))
@@ -452,7 +401,7 @@
             if not packet.is_reset:
                 self._reset(packet.flow, packet.acknowledged, "lost_by_upstream")
         else:
-            self._search_on(packet, envelope, now)
+            self._search.pass_on(packet, envelope, now)
 
     def _refuse(self, packet: FlowPacket, reason: str) -> None:
         """Answer an opening packet that no agent takes; nothing has run."""
