Avoid upstreams whose requests seem to fail, whatever their health says

Cause: an upstream that answers each request with an error after 2 ms always looks idle, so placement by load sent it most new flows.

Ruled out: reading the answers (the bytes belong to the two ends of a flow), health checks (they are the thing that is false), and absolute bounds on answer times (proper ones take 7 ms at one service and 75 ms at the other).

Load reports say so, and placement puts such upstreams after all others unless more than half seem to fail. A report that an upstream takes nothing counts for 3 s only: before, an agent that got no packets could not say that it was usable again.

--- a/libs/core/src/laburnumbridge/core/event.py
+++ b/libs/core/src/laburnumbridge/core/event.py
@@ -39,6 +39,7 @@
     UPSTREAM_CHANGED = (310, "info", "An upstream was listed, changed or removed in this view.")
     UPSTREAM_SILENT = (311, "warning", "The upstream leaves opening packets unanswered.")
     AGENTS_UNREACHABLE = (312, "warning", "No agent answers, or one does again.")
+    UPSTREAM_FAILING = (313, "warning", "Requests at the upstream seem to fail, or do no longer.")
     UPSTREAM_DRAINING = (303, "info", "The upstream leaves; it gets no new work.")
     FLOW_OPENED = (403, "debug", "A guest's connection is open.")
     FLOW_CLOSED = (404, "debug", "A guest's connection has ended.")
--- a/libs/flows/src/laburnumbridge/flows/__init__.py
+++ b/libs/flows/src/laburnumbridge/flows/__init__.py
@@ -16,6 +16,7 @@
 from laburnumbridge.flows.packet_codec import PacketCodec
 from laburnumbridge.flows.upstream_choice import Candidate
 from laburnumbridge.flows.upstream_choice import UpstreamChoice
+from laburnumbridge.flows.upstream_outcomes import UpstreamOutcomes
 
 __all__ = [
     "AgentRanking",
@@ -32,4 +33,5 @@
     "OpeningQueue",
     "PacketCodec",
     "UpstreamChoice",
+    "UpstreamOutcomes",
 ]
--- a/libs/flows/src/laburnumbridge/flows/flow_directory.py
+++ b/libs/flows/src/laburnumbridge/flows/flow_directory.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from laburnumbridge.flows.flow_packet import FlowKey
     from laburnumbridge.flows.flow_packet import FlowPacket
+    from laburnumbridge.flows.upstream_outcomes import UpstreamOutcomes
 
 HALF_OPEN_S = 1.5
 """A client gives up on an opening after 1.4 s."""
@@ -18,6 +19,8 @@
 """Covers the retransmissions of a last packet: 0.2 + 0.4 + 0.8 + 1.6 s, with a margin."""
 REQUEST_PENDING_S = 0.25
 """A client that opened a flow sends its request with the next packet; one round trip is 4 ms."""
+ANSWER_TIMES_LIMIT = 1_024
+"""Collected twice a second; an upstream answers some 200 requests in that time at most."""
 OPEN_WINDOW_BYTES = 76_800
 """An acknowledgement this close behind the upstream's first sequence number proves the opening."""
 
@@ -55,12 +58,15 @@
 class FlowDirectory:
     """Follows every packet between the clients and one upstream.
 
-    Answers which flows are open there and how many requests the upstream works on. Bounded by
-    ``limit`` records; idle and old flows expire.
+    Answers which flows are open there and how many requests the upstream works on, and tells
+    ``outcomes`` how requests end. Bounded by ``limit`` records; idle and old flows expire.
     """
 
-    def __init__(self, *, limit: int, idle_s: float, max_age_s: float) -> None:
+    def __init__(
+        self, *, limit: int, idle_s: float, max_age_s: float, outcomes: UpstreamOutcomes
+    ) -> None:
         self._limit = limit
+        self._outcomes = outcomes
         self.idle_s = idle_s
         self._max_age_s = max_age_s
         self._by_flow: dict[FlowKey, FlowRecord] = {}
@@ -166,20 +172,28 @@
             self._open += 1
         record.last_seen = now
         if packet.is_reset:
+            if record.state is FlowState.OPEN and not record.answered_since_request:
+                self._outcomes.failed(now)
             self._close(packet.flow, record)
             return False
         if packet.data_length and not record.answered_since_request:
-            record.answered_since_request = True
-            self._busy.discard(packet.flow)
-            if record.request_since is not None and len(self.answer_seconds) < 1024:
-                self.answer_seconds.append(now - record.request_since)
-            record.request_since = None
+            self._on_answer(packet.flow, record, now)
         if packet.is_final:
             record.upstream_finished = True
             self._busy.discard(packet.flow)
             self._finish(packet.flow, record)
         return discovered
 
+    def _on_answer(self, flow: FlowKey, record: FlowRecord, now: float) -> None:
+        record.answered_since_request = True
+        self._busy.discard(flow)
+        if record.request_since is not None:
+            seconds = now - record.request_since
+            self._outcomes.answered(seconds, now)
+            if len(self.answer_seconds) < ANSWER_TIMES_LIMIT:
+                self.answer_seconds.append(seconds)
+        record.request_since = None
+
     def _finish(self, flow: FlowKey, record: FlowRecord) -> None:
         if record.client_finished and record.upstream_finished:
             self._close(flow, record)
--- a/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
+++ b/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
@@ -62,13 +62,15 @@
     """What an agent tells a balancer of its upstream.
 
     ``busy`` counts requests at work and flows about to send one; ``open_flows`` counts all open
-    flows; ``slots`` is what the upstream runs at once.
+    flows; ``slots`` is what the upstream runs at once. ``is_failing`` says that most of its
+    requests seem to fail, so that new flows should go elsewhere while they can.
     """
 
     busy: int
     open_flows: int
     slots: int
     is_available: bool
+    is_failing: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -84,6 +86,8 @@
 MAX_TRIED = 8
 """Addresses that an envelope holds; an opening packet is passed on less often."""
 _LOAD = struct.Struct("!BHIHB")
+_AVAILABLE = 1
+_FAILING = 2
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
@@ -128,17 +132,23 @@
         min(report.busy, 0xFFFF),
         report.open_flows,
         min(report.slots, 0xFFFF),
-        report.is_available,
+        report.is_available * _AVAILABLE | report.is_failing * _FAILING,
     )
 
 
 def decode_load(datagram: bytes) -> LoadReport:
     """Decode a datagram of kind LOAD."""
     try:
-        _, busy, open_flows, slots, available = _LOAD.unpack(datagram)
+        _, busy, open_flows, slots, flags = _LOAD.unpack(datagram)
     except struct.error as error:
         raise MalformedPeerDatagramError(reason=str(error), size=len(datagram)) from error
-    return LoadReport(busy=busy, open_flows=open_flows, slots=slots, is_available=bool(available))
+    return LoadReport(
+        busy=busy,
+        open_flows=open_flows,
+        slots=slots,
+        is_available=bool(flags & _AVAILABLE),
+        is_failing=bool(flags & _FAILING),
+    )
 
 
 def encode_flows(kind: DatagramKind, located: FlowsLocated) -> bytes:
--- a/libs/flows/src/laburnumbridge/flows/upstream_choice.py
+++ b/libs/flows/src/laburnumbridge/flows/upstream_choice.py
@@ -20,6 +20,15 @@
 """An agent answers packets with a load report within 0.1 s; one that doesn't stands still."""
 CUT_OFF_S = 0.7
 """Several agents answer within a tenth of this unless the VM is cut off from all of them."""
+REFUSAL_STANDS_S = 3.0
+"""An agent that gets no packets sends no reports, so one that took or served nothing is tried
+again after this; if that still holds, it passes the new flow on."""
+UNAVAILABLE_PENALTY = 1e6
+"""Busy shares stay far below: an agent that takes nothing is the last choice."""
+FAILING_PENALTY = 1e5
+"""An upstream that fails some requests comes before one that takes none."""
+FAILING_SHARE_LIMIT = 0.5
+"""If more upstreams than this share seem to fail, avoiding them would overload the others."""
 STALE_REPORT_S = 1.0
 """After this a report of busy slots says nothing: requests take a tenth of it."""
 
@@ -119,10 +128,13 @@
         best: tuple[float, float, float] | None = None
         chosen = None
         usual_share = self._mean_busy_share(candidates, now)
+        failing = self._failing(candidates, now)
         for candidate in candidates:
             if candidate.agent in excluded:
                 continue
             score = self._score(candidate, usual_share, is_long=is_long, now=now)
+            if candidate.agent in failing:
+                score = (score[0] + FAILING_PENALTY, *score[1:])
             if best is None or score < best:
                 best = score
                 chosen = candidate.agent
@@ -140,9 +152,21 @@
             if (known := self._fresh_load(candidate.agent, now)) is not None
             and known.report.busy + self._pending(candidate.agent, now) < candidate.slots
             and known.report.is_available
+            and not known.report.is_failing
         ]
         return self.choose(idle, is_long=False, now=now, excluded=excluded)
 
+    def _failing(self, candidates: Collection[Candidate], now: float) -> set[str]:
+        """Return the candidates that seem to fail their requests, unless these are too many."""
+        failing = {
+            candidate.agent
+            for candidate in candidates
+            if (known := self._load_by_agent.get(candidate.agent)) is not None
+            and known.report.is_failing
+            and now - known.reported_at <= REFUSAL_STANDS_S
+        }
+        return failing if len(failing) <= FAILING_SHARE_LIMIT * len(candidates) else set()
+
     def _mean_busy_share(self, candidates: Collection[Candidate], now: float) -> float:
         shares = [
             known.report.busy / max(candidate.slots, 1)
@@ -168,7 +192,9 @@
         busy = usual_share * candidate.slots if fresh is None else fresh.report.busy
         known = self._load_by_agent.get(agent)
         open_flows = 0 if known is None else known.report.open_flows
-        available = known is None or known.report.is_available
+        available = (
+            known is None or known.report.is_available or now - known.reported_at > REFUSAL_STANDS_S
+        )
         if self._avoid_until_by_agent.get(agent, 0.0) > now:
             available = False
         if self.silence_s(agent, now) > SILENCE_S:
@@ -176,7 +202,7 @@
         busy_share = (busy + pending) / capacity
         flow_share = (open_flows + pending) / capacity
         shares = (flow_share, busy_share) if is_long else (busy_share, flow_share)
-        penalty = 0.0 if available else 1e6
+        penalty = 0.0 if available else UNAVAILABLE_PENALTY
         return (penalty + shares[0], shares[1], self._choice.fraction())
 
     def _pending(self, agent: str, now: float) -> int:
--- a/libs/flows/tests/test_flow_directory.py
+++ b/libs/flows/tests/test_flow_directory.py
@@ -6,6 +6,7 @@
 from laburnumbridge.flows import FlowKey
 from laburnumbridge.flows import FlowPacket
 from laburnumbridge.flows import FlowState
+from laburnumbridge.flows import UpstreamOutcomes
 
 FLOW = FlowKey(bytes(12))
 
@@ -29,7 +30,7 @@
 
 @pytest.fixture
 def directory():
-    return FlowDirectory(limit=10, idle_s=15.0, max_age_s=60.0)
+    return FlowDirectory(limit=10, idle_s=15.0, max_age_s=60.0, outcomes=UpstreamOutcomes())
 
 
 def open_flow(directory: FlowDirectory, now: float = 0.0) -> None:
--- a/libs/flows/tests/test_peer_datagrams.py
+++ b/libs/flows/tests/test_peer_datagrams.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from itertools import product
+
 import pytest
 from hypothesis import given
 from hypothesis import settings
@@ -35,8 +37,15 @@
 
     def test_a_load_report_keeps_its_fields(self):
         # Guards against placement on wrong figures.
-        report = LoadReport(busy=3, open_flows=70_000, slots=4, is_available=True)
-        assert decode_load(encode_load(report)) == report
+        for is_available, is_failing in product((True, False), repeat=2):
+            report = LoadReport(
+                busy=3,
+                open_flows=70_000,
+                slots=4,
+                is_available=is_available,
+                is_failing=is_failing,
+            )
+            assert decode_load(encode_load(report)) == report
 
     def test_located_flows_keep_their_keys(self):
         # Guards against records under wrong keys.
--- a/libs/flows/tests/test_upstream_choice.py
+++ b/libs/flows/tests/test_upstream_choice.py
@@ -11,8 +11,16 @@
     return Candidate(agent=agent, failure_domain="a", slots=slots, slow_start=slow_start)
 
 
-def load(busy: int = 0, open_flows: int = 0, *, is_available: bool = True) -> LoadReport:
-    return LoadReport(busy=busy, open_flows=open_flows, slots=4, is_available=is_available)
+def load(
+    busy: int = 0, open_flows: int = 0, *, is_available: bool = True, is_failing: bool = False
+) -> LoadReport:
+    return LoadReport(
+        busy=busy,
+        open_flows=open_flows,
+        slots=4,
+        is_available=is_available,
+        is_failing=is_failing,
+    )
 
 
 class TestShortFlows:
@@ -114,3 +122,39 @@
     def test_without_candidates_there_is_no_choice(self):
         # Guards against an error for a service that has no upstream.
         assert UpstreamChoice(seed=1).choose([], is_long=False, now=0.0) is None
+
+
+class TestFailingUpstreams:
+    def test_an_idle_upstream_that_fails_comes_after_busy_ones(self):
+        # Guards against placement that prefers an upstream because it fails at once.
+        choice = UpstreamChoice(seed=1)
+        choice.report("a", load(busy=0, is_failing=True), 0.0)
+        choice.report("b", load(busy=4), 0.0)
+        candidates = [candidate("a"), candidate("b")]
+        assert choice.choose(candidates, is_long=False, now=0.0) == "b"
+        assert choice.choose(candidates, is_long=False, now=0.0, excluded=("b",)) == "a"
+
+    def test_it_is_not_offered_as_idle(self):
+        # Guards against held openings that move to an upstream that fails them.
+        choice = UpstreamChoice(seed=1)
+        choice.report("a", load(busy=0, is_failing=True), 0.0)
+        assert choice.choose_idle([candidate("a")], now=0.0) is None
+
+    def test_most_upstreams_are_never_avoided_at_once(self):
+        # Guards against the few others that get the whole load because most seem to fail.
+        choice = UpstreamChoice(seed=1)
+        candidates = [candidate(agent) for agent in "abcd"]
+        for agent in "abc":
+            choice.report(agent, load(busy=0, is_failing=True), 0.0)
+        choice.report("d", load(busy=3), 0.0)
+        assert choice.choose(candidates, is_long=False, now=0.0) != "d"
+
+    def test_an_old_report_of_a_refusal_no_longer_counts(self):
+        # Guards against an upstream that is never used again: who gets no packets can't report.
+        for report in (load(is_failing=True), load(is_available=False)):
+            choice = UpstreamChoice(seed=1)
+            choice.report("a", report, 0.0)
+            candidates = [candidate("a"), candidate("b")]
+            assert choice.choose(candidates, is_long=False, now=1.0) == "b"
+            choice.report("b", load(busy=4, open_flows=9), 4.0)
+            assert choice.choose(candidates, is_long=False, now=4.0) == "a"
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -17,6 +17,7 @@
 from laburnumbridge.flows import MalformedPeerDatagramError
 from laburnumbridge.flows import OpeningQueue
 from laburnumbridge.flows import UpstreamChoice
+from laburnumbridge.flows import UpstreamOutcomes
 from laburnumbridge.flows.peer_datagrams import FLOWS_PER_DATAGRAM
 from laburnumbridge.flows.peer_datagrams import MAX_TRIED
 from laburnumbridge.flows.peer_datagrams import DatagramKind
@@ -49,6 +50,8 @@
 """Ten times the connections that an upstream holds, for flows that have closed."""
 DEFAULT_IDLE_S = 15.0
 """Used until a configuration is known."""
+PREFERENCES = ("busy", "failing")
+"""Reasons to hand an opening over for which this agent takes it if no other one is left."""
 HANDED_OVER_S = 3.0
 """Covers an opening packet's copies and the answer's way through the first agent."""
 MAX_HANDOVERS = 3
@@ -87,8 +90,13 @@
         self._outputs = self.network.datagram_port(
             parse_endpoint(upstream.output_endpoint), self._on_upstream_datagram
         )
+        self._outcomes = UpstreamOutcomes()
+        self._was_failing = False
         self._flows = FlowDirectory(
-            limit=FLOWS_LIMIT, idle_s=DEFAULT_IDLE_S, max_age_s=self.settings.flow_max_age_s
+            limit=FLOWS_LIMIT,
+            idle_s=DEFAULT_IDLE_S,
+            max_age_s=self.settings.flow_max_age_s,
+            outcomes=self._outcomes,
         )
         self._records = FlowRecords(agent=self.settings.address)
         self._handed_over: ExpiringMap[FlowKey, str] = ExpiringMap(
@@ -213,7 +221,7 @@
             reason = self._reason_to_hand_over(envelope)
             if reason is not None and self._hand_over(packet, envelope, reason, now):
                 return
-            if reason not in (None, "busy"):
+            if reason not in (None, *PREFERENCES):
                 self._refuse(packet, reason or "")
                 return
             if self._flows.busy >= self._admission_limit:
@@ -283,6 +291,8 @@
             return "unavailable"
         if self._flows.busy >= self._slots and len(envelope.tried) < MAX_HANDOVERS:
             return "busy"
+        if not envelope.tried and self._outcomes.is_failing(self.loop.now()):
+            return "failing"
         return None
 
     def _hand_over(self, packet: FlowPacket, envelope: Envelope, reason: str, now: float) -> bool:
@@ -291,7 +301,7 @@
         others = self.directory.candidates(envelope.service_tag, now)
         own = self.settings.address
         agent = self._choice.choose(others, is_long=False, now=now, excluded=(own, *envelope.tried))
-        if agent is None and reason != "busy":
+        if agent is None and reason not in PREFERENCES:
             # All others were tried; one that was only busy takes the packet after all.
             agent = self._choice.choose(others, is_long=False, now=now, excluded=(own,))
         if agent is None:
@@ -478,7 +488,23 @@
             open_flows=self._flows.open_flows,
             slots=self._slots,
             is_available=self._can_take,
+            is_failing=self._outcomes.is_failing(self.loop.now()),
         )
 
+    def _follow_outcomes(self, now: float) -> None:
+        """Log when new flows begin to go elsewhere, and when they come back."""
+        is_failing = self._outcomes.is_failing(now)
+        if is_failing != self._was_failing:
+            self._was_failing = is_failing
+            self.log.write(
+                Event.UPSTREAM_FAILING,
+                outcome="avoided" if is_failing else "back",
+                upstream=self._upstream_endpoint[0],
+                usual_answer_s=round(self._outcomes.usual_s, 4),
+                flows=self._flows.open_flows,
+            )
+            self.metrics.gauge("upstream_failing", is_failing)
+
     def _send_load(self) -> None:
+        self._follow_outcomes(self.loop.now())
         self._reporter.send(self._load_report, self.loop.now())
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -308,6 +308,53 @@
             assert flow.is_open
 
 
+class TestFailingUpstream:
+    ERROR_S = 0.0015
+
+    @staticmethod
+    def send_requests(fleet, seconds):
+        """Offer half of what the upstreams can do, a flow for each request."""
+        for number in range(int(seconds / 0.008)):
+            flow = fleet.client.open_flow(SERVICE)
+            flow.request(b"r%d" % number)
+            fleet.world.run_for(0.008)
+
+    def test_an_upstream_that_fails_at_once_gets_no_more_new_flows(self, fleet):
+        # Guards against placement by load alone: an upstream that answered each request with an
+        # error after 2 ms got most new flows of a played day.
+        self.send_requests(fleet, 2.0)
+        failing = fleet.upstream_by_address[fleet.agents[0]]
+        failing.work_s = self.ERROR_S
+        self.send_requests(fleet, 0.5)
+        ran_before = len(failing.ran)
+        self.send_requests(fleet, 2.0)
+        assert len(failing.ran) == ran_before
+        lines = fleet.log_by_address[fleet.agents[0]].lines
+        outcomes = [line["outcome"] for event, line in lines if event is Event.UPSTREAM_FAILING]
+        assert outcomes == ["avoided"]
+
+    def test_it_is_used_again_when_it_has_recovered(self, fleet):
+        # Guards against capacity that is lost for good after a fault.
+        self.send_requests(fleet, 2.0)
+        failing = fleet.upstream_by_address[fleet.agents[0]]
+        usual_s, failing.work_s = failing.work_s, self.ERROR_S
+        self.send_requests(fleet, 1.0)
+        failing.work_s = usual_s
+        ran_before = len(failing.ran)
+        self.send_requests(fleet, 6.0)
+        assert len(failing.ran) > ran_before + 50
+
+    def test_nothing_is_refused_when_all_upstreams_fail(self, fleet):
+        # Guards against refusals that only a judgement of this system causes.
+        self.send_requests(fleet, 2.0)
+        for upstream in fleet.upstream_by_address.values():
+            upstream.work_s = self.ERROR_S
+        ran_before = sum(len(one.ran) for one in fleet.upstream_by_address.values())
+        self.send_requests(fleet, 2.0)
+        ran = sum(len(one.ran) for one in fleet.upstream_by_address.values()) - ran_before
+        assert ran >= 245
+
+
 class TestCutOff:
     def test_a_balancer_that_reaches_no_agent_leaves_the_rotation_and_returns(self, fleet):
         # Guards against a VM that is cut off from the agents and goes on taking packets: its
--- a/libs/standins/src/laburnumbridge/standins/benchmarks/flow_search.py
+++ b/libs/standins/src/laburnumbridge/standins/benchmarks/flow_search.py
@@ -13,6 +13,7 @@
 from laburnumbridge.flows import ExpiringMap
 from laburnumbridge.flows import FlowDirectory
 from laburnumbridge.flows import FlowKey
+from laburnumbridge.flows import UpstreamOutcomes
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -81,7 +82,9 @@
     def _directory_bytes() -> int:
         tracemalloc.start()
         before = tracemalloc.get_traced_memory()[0]
-        directory = FlowDirectory(limit=TABLE_FLOWS, idle_s=15.0, max_age_s=60.0)
+        directory = FlowDirectory(
+            limit=TABLE_FLOWS, idle_s=15.0, max_age_s=60.0, outcomes=UpstreamOutcomes()
+        )
         for number in range(TABLE_FLOWS):
             directory.expect(FlowKey(number.to_bytes(12, "big")), float(number))
         used = tracemalloc.get_traced_memory()[0] - before
