Keep processes of an interrupted test run out of the next one

Cause: test_planned_changes failed in 3 of 3 runs while a platform and a fabric stand-in of a run that had been ended by a signal still listened on the test's fixed loopback addresses. The new stand-ins could not bind, and the harness took the strangers' answers for theirs.

Change: a harness claims a part of the loopback network that nobody uses, instead of a number fixed in each test, and the kernel ends its processes when it is gone. Two test runs can go on side by side now.

--- a/libs/standins/src/laburnumbridge/standins/errors.py
+++ b/libs/standins/src/laburnumbridge/standins/errors.py
@@ -28,3 +28,11 @@
         super().__init__(f"{name} is not ready: {reason}")
         self.name = name
         self.reason = reason
+
+
+class NoFreeNetworkError(LaburnumbridgeError):
+    """Other processes use every part of the loopback network that was tried."""
+
+    def __init__(self, *, tried: int) -> None:
+        super().__init__(f"no free loopback network among {tried}")
+        self.tried = tried
--- a/libs/standins/src/laburnumbridge/standins/harness.py
+++ b/libs/standins/src/laburnumbridge/standins/harness.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
-import os
 import signal
 import subprocess
 import sys
@@ -16,6 +16,7 @@
 
 from laburnumbridge.standins.certificates import CertificateAuthority
 from laburnumbridge.standins.errors import ProcessNotReadyError
+from laburnumbridge.standins.loopback_network import LoopbackNetwork
 from laburnumbridge.wire import Endpoint
 
 if TYPE_CHECKING:
@@ -32,6 +33,9 @@
 READY_TIMEOUT_S = 30.0
 SERVER_NAME = "service.example"
 
+PR_SET_PDEATHSIG = 1
+"""Option of Linux's prctl: the signal that a process gets when its parent ends."""
+
 _POLL_S = 0.05
 
 
@@ -66,6 +70,11 @@
 FAILURE_DOMAINS = ("welshpool", "osborne", "midland", "fremantle")
 
 
+def _end_with_parent() -> None:
+    """Have the kernel end this process when the harness is gone, however that ended."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Harness:
     """Owns the processes that it starts; ``close`` ends exactly those."""
 
@@ -75,12 +84,11 @@
         folder: Path,
         services: tuple[ServicePlan, ...] = SWAN_COAST,
         balancers: int = 3,
-        network: int | None = None,
         work_ms: float = 20.0,
     ) -> None:
-        # Each harness has its own part of 127.0.0.0/8, so that several can run at once.
-        chosen = os.getpid() % 200 + 20 if network is None else network
-        self._prefix = f"127.{chosen}"
+        self._network = LoopbackNetwork(ports=(HTTP_PORT,))
+        self._network.start()
+        self._prefix = self._network.prefix
         self._folder = folder
         self._services = services
         self._work_ms = work_ms
@@ -126,6 +134,7 @@
             process.wait()
         if self._http is not None:
             await self._http.close()
+        self._network.close()
 
     def start_machine(self, machine: Machine) -> None:
         """Start the processes of a VM."""
@@ -369,7 +378,10 @@
         log = (self._folder / f"{name}.log").open("wb")
         with log:
             return subprocess.Popen(
-                [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
+                [sys.executable, "-m", module, *arguments],
+                stdout=log,
+                stderr=log,
+                preexec_fn=_end_with_parent,
             )
 
     def _run_upstream(self, machine: Machine) -> subprocess.Popen[bytes]:
--- a/libs/standins/tests/test_bad_input.py
+++ b/libs/standins/tests/test_bad_input.py
@@ -138,7 +138,6 @@
             folder=tmp_path,
             services=(ServicePlan(name=SERVICE, upstreams=2),),
             balancers=1,
-            network=236,
         )
         fleet = GuestFleet(harness=harness, service=SERVICE, flows=FLOWS)
         late = GuestFleet(harness=harness, service=SERVICE, flows=FLOWS)
--- a/libs/standins/tests/test_list_changes.py
+++ b/libs/standins/tests/test_list_changes.py
@@ -35,7 +35,6 @@
         folder=tmp_path_factory.mktemp("lists"),
         services=(ServicePlan(name=SERVICE, upstreams=3),),
         balancers=2,
-        network=235,
     )
     try:
         await started.start()
--- a/libs/standins/tests/test_planned_changes.py
+++ b/libs/standins/tests/test_planned_changes.py
@@ -27,7 +27,7 @@
     async def test_no_flow_breaks_and_none_reaches_another_service(self, tmp_path: Path) -> None:
         # Guards P1, P2, P6 and P7 on real packets: a balancer killed, one frozen, one added, the
         # platform down and an upstream drained, under 200 flows with a reading each second.
-        harness = Harness(folder=tmp_path, network=231)
+        harness = Harness(folder=tmp_path)
         desk = GuestFleet(harness=harness, service="workshop-desk", flows=FLOWS, requests_per_s=20)
         store = GuestFleet(harness=harness, service="certificate-store", flows=40)
         try:
--- a/libs/standins/tests/test_request_promises.py
+++ b/libs/standins/tests/test_request_promises.py
@@ -104,7 +104,6 @@
     harness = Harness(
         folder=tmp_path_factory.mktemp("promises"),
         services=(ServicePlan(name=SERVICE, upstreams=len(UPSTREAMS)),),
-        network=234,
     )
     try:
         await harness.start()
--- a/libs/standins/tests/test_silent_connections.py
+++ b/libs/standins/tests/test_silent_connections.py
@@ -51,7 +51,7 @@
 class TestSilentConnections:
     async def test_both_ends_notice_and_guests_reconnect(self, tmp_path: Path) -> None:
         # Guards F7: a board that shows an old status, or an agent that holds dead flows.
-        harness = Harness(folder=tmp_path, services=SERVICES, network=238)
+        harness = Harness(folder=tmp_path, services=SERVICES)
         guests = GuestFleet(harness=harness, service="workshop-desk", flows=FLOWS)
         try:
             await harness.start()
--- a/libs/standins/tests/test_unplanned_loss.py
+++ b/libs/standins/tests/test_unplanned_loss.py
@@ -29,15 +29,13 @@
 
 
 class TestUnplannedLoss:
-    @pytest.mark.parametrize(
-        ("number", "network"), [(signal.SIGKILL, 232), (signal.SIGSTOP, 233)], ids=["kill", "stop"]
-    )
+    @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP], ids=["kill", "stop"])
     async def test_only_own_flows_break_and_guests_are_told(
-        self, tmp_path: Path, number: signal.Signals, network: int
+        self, tmp_path: Path, number: signal.Signals
     ) -> None:
         # Guards against a loss that breaks flows of other upstreams, and against guests that wait
         # for an idle timeout. A stopped VM sends no "port closed": the probes must detect it.
-        harness = Harness(folder=tmp_path, services=SERVICES, network=network)
+        harness = Harness(folder=tmp_path, services=SERVICES)
         desk = GuestFleet(harness=harness, service="workshop-desk", flows=FLOWS)
         store = GuestFleet(harness=harness, service="certificate-store", flows=10)
         try:
