Log when a process could not run for a while

Change: a timer that is more than 0.2 s late is logged as event 109, and the histogram loop_lag_seconds shows how late timers are.

Measured: the new test freezes a process for 1.3 s and finds the line; it fails before the change (there is no such event).

--- a/libs/core/src/laburnumbridge/core/event.py
+++ b/libs/core/src/laburnumbridge/core/event.py
@@ -19,6 +19,7 @@
     SETTINGS_RELOADED = (106, "info", "Changed settings are in force.")
     LINES_LEFT_OUT = (107, "warning", "Log lines were left out to bound the volume of the log.")
     NETWORK_FAULT = (108, "warning", "The system refused an operation on a socket.")
+    PROCESS_PAUSED = (109, "warning", "The process could not run: its VM is slow or was suspended.")
     LIST_IN_FORCE = (201, "info", "A new version of a list is in force.")
     LIST_REJECTED = (202, "error", "A version of a list is not valid; the one in force stays.")
     LIST_OLDER_IGNORED = (203, "warning", "An older version was offered and ignored.")
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -31,7 +31,9 @@
     from laburnumbridge.forwarding.network import Network
 
 SETTINGS_CHECK_S = 0.5
-"""Settings may change without a signal; reading the file's status is cheap."""
+"""Settings may change without a signal; reading the small file is cheap."""
+PAUSE_S = 0.2
+"""A timer that is this late has kept packets of clients waiting for as long."""
 
 
 def flow_text(flow: FlowKey) -> str:
@@ -64,6 +66,7 @@
         self.settings = settings
         self._settings_path = settings_path
         self._settings_text = b""
+        self._checked_at = 0.0
         self.packet_codec = packet_codec
         self.log = log
         self.metrics = Metrics()
@@ -101,7 +104,8 @@
         self.loop.on_signal(signal.SIGTERM, self.stop)
         self.loop.on_signal(signal.SIGINT, self.stop)
         self.loop.on_signal(signal.SIGHUP, self._reload)
-        self.loop.call_every(SETTINGS_CHECK_S, self._reload)
+        self._checked_at = self.loop.now()
+        self.loop.call_every(SETTINGS_CHECK_S, self._check)
         self.peers.start()
         self._ready_server.start()
         self._metrics_server.start()
@@ -187,6 +191,16 @@
     def _serve_metrics(self, _path: str) -> tuple[int, bytes]:
         return 200, self.metrics.render()
 
+    def _check(self) -> None:
+        """Look for changed settings, and report when the process could not run for a while."""
+        now = self.loop.now()
+        late_s = now - self._checked_at - SETTINGS_CHECK_S
+        self._checked_at = now
+        self.metrics.observe("loop_lag_seconds", max(late_s, 0.0))
+        if late_s > PAUSE_S:
+            self.log.write(Event.PROCESS_PAUSED, late_s=round(late_s, 3))
+        self._reload()
+
     def _reload(self) -> None:
         try:
             text = self._settings_path.read_bytes()
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -355,6 +355,17 @@
         assert ran >= 245
 
 
+class TestPause:
+    def test_a_process_that_could_not_run_says_so(self, fleet):
+        # Guards against late requests of a slow or suspended VM that no log explains.
+        address = fleet.balancers[0]
+        fleet.process_by_address[address].loop.frozen_until = fleet.world.now + 1.3
+        fleet.world.run_for(3.0)
+        lines = fleet.log_by_address[address].lines
+        [late_s] = [line["late_s"] for event, line in lines if event is Event.PROCESS_PAUSED]
+        assert 0.8 <= late_s <= 1.3
+
+
 class TestCutOff:
     def test_a_balancer_that_reaches_no_agent_leaves_the_rotation_and_returns(self, fleet):
         # Guards against a VM that is cut off from the agents and goes on taking packets: its
