Let the stand-ins of platform, client and upstream run on any network

Cause: a soak on real processes needs the stand-ins that the simulated fleet uses, and they were tied to simulated sockets.

Change: they take a loop and a network; the simulated fleet passes simulated ones.

--- a/libs/forwarding/tests/test_forwarding_settings.py
+++ b/libs/forwarding/tests/test_forwarding_settings.py
@@ -8,7 +8,7 @@
 from laburnumbridge.forwarding.errors import InvalidSettingsError
 from laburnumbridge.forwarding.errors import UnknownRoleError
 from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
-from laburnumbridge.standins.flows.simulated_platform import StandInPlatformCodec
+from laburnumbridge.standins.flows.platform_stand_in import StandInPlatformCodec
 from laburnumbridge.standins.flows.stand_in_packets import StandInPacketCodec
 
 SETTINGS = {
--- a/libs/forwarding/tests/test_loopback.py
+++ b/libs/forwarding/tests/test_loopback.py
@@ -18,7 +18,7 @@
 from laburnumbridge.standins.benchmarks.flow_balancer_target import SERVICE_ADDRESS
 from laburnumbridge.standins.benchmarks.flow_balancer_target import SERVICE_PORT
 from laburnumbridge.standins.benchmarks.flow_balancer_target import make_view
-from laburnumbridge.standins.flows.simulated_platform import StandInPlatformCodec
+from laburnumbridge.standins.flows.platform_stand_in import StandInPlatformCodec
 from laburnumbridge.standins.flows.stand_in_packets import StandInPacket
 from laburnumbridge.standins.flows.stand_in_packets import StandInPacketCodec
 
--- a/libs/standins/src/laburnumbridge/standins/benchmarks/flow_balancer_target.py
+++ b/libs/standins/src/laburnumbridge/standins/benchmarks/flow_balancer_target.py
@@ -21,7 +21,7 @@
 from laburnumbridge.forwarding.flow_balancer import FlowBalancer
 from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
 from laburnumbridge.forwarding.socket_network import SocketNetwork
-from laburnumbridge.standins.flows.simulated_platform import StandInPlatformCodec
+from laburnumbridge.standins.flows.platform_stand_in import StandInPlatformCodec
 from laburnumbridge.standins.flows.stand_in_packets import StandInPacket
 from laburnumbridge.standins.flows.stand_in_packets import StandInPacketCodec
 
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_client.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/client_stand_in.py
@@ -7,8 +7,6 @@
 
 from laburnumbridge.core import pack_ipv4
 from laburnumbridge.flows import FlowKey
-from laburnumbridge.standins.flows.simulated_world import SimulatedDatagramPort
-from laburnumbridge.standins.flows.simulated_world import SimulatedLoop
 from laburnumbridge.standins.flows.stand_in_packets import StandInPacket
 from laburnumbridge.standins.flows.stand_in_packets import StandInPacketCodec
 
@@ -16,8 +14,9 @@
     from collections.abc import Callable
 
     from laburnumbridge.forwarding.endpoints import Endpoint
+    from laburnumbridge.forwarding.network import Loop
+    from laburnumbridge.forwarding.network import Network
     from laburnumbridge.forwarding.network import Timer
-    from laburnumbridge.standins.flows.simulated_world import SimulatedWorld
 
 OPENING_COPIES_S = (0.2, 0.6)
 OPENING_ENDS_S = 1.4
@@ -32,7 +31,7 @@
     unsuccessful flow ended, ``opening_s`` how long the flow took to open.
     """
 
-    def __init__(self, *, client: SimulatedClient, key: FlowKey) -> None:
+    def __init__(self, *, client: ClientStandIn, key: FlowKey) -> None:
         self._client = client
         self.key = key
         self.is_open = False
@@ -130,23 +129,22 @@
         self._client.send(self.key, packet.encode())
 
 
-class SimulatedClient:
+class ClientStandIn:
     """Opens flows from one address; ``fabric`` gives the balancer for a flow, or None."""
 
     def __init__(
         self,
         *,
-        world: SimulatedWorld,
+        loop: Loop,
+        network: Network,
         endpoint: Endpoint,
         fabric: Callable[[FlowKey], Endpoint | None],
     ) -> None:
-        self.loop = SimulatedLoop(world=world, address=endpoint[0])
+        self.loop = loop
         self.codec = StandInPacketCodec()
         self._endpoint = endpoint
         self._fabric = fabric
-        self._port = SimulatedDatagramPort(
-            loop=self.loop, endpoint=endpoint, on_datagram=self._on_datagram
-        )
+        self._port = network.datagram_port(endpoint, self._on_datagram)
         self._next_port = 10_000
         self._flow_by_key: dict[FlowKey, ClientFlow] = {}
 
@@ -154,6 +152,10 @@
         """Receive packets."""
         self._port.start()
 
+    def close(self) -> None:
+        """Close the socket."""
+        self._port.close()
+
     def open_flow(self, service: Endpoint) -> ClientFlow:
         """Open a flow to a service's address and port from a new port."""
         self._next_port += 1
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_platform.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/platform_stand_in.py
@@ -1,4 +1,4 @@
-"""A stand-in for the platform's store on simulated time."""
+"""A stand-in for the platform's store."""
 
 from __future__ import annotations
 
@@ -19,13 +19,12 @@
 from laburnumbridge.catalog import RoutingConfiguration
 from laburnumbridge.catalog import UpstreamEntry
 from laburnumbridge.catalog import UpstreamRemoval
-from laburnumbridge.standins.flows.simulated_world import SimulatedListener
-from laburnumbridge.standins.flows.simulated_world import SimulatedLoop
 
 if TYPE_CHECKING:
     from laburnumbridge.forwarding.endpoints import Endpoint
     from laburnumbridge.forwarding.network import ByteStream
-    from laburnumbridge.standins.flows.simulated_world import SimulatedWorld
+    from laburnumbridge.forwarding.network import Loop
+    from laburnumbridge.forwarding.network import Network
 
 ANSWER_S = 0.004
 
@@ -70,19 +69,16 @@
         return self.decode_listing(status, body)
 
 
-class SimulatedPlatform:
+class PlatformStandIn:
     """Holds entries and the configuration at revisions, and answers listings and watches.
 
     ``refused`` holds addresses that get 503, ``silent`` those that get no answer; with
     ``is_silent`` nobody gets one. ``calls`` counts calls by address.
     """
 
-    def __init__(self, *, world: SimulatedWorld, endpoint: Endpoint) -> None:
-        self._world = world
-        self._loop = SimulatedLoop(world=world, address=endpoint[0])
-        self._listener = SimulatedListener(
-            loop=self._loop, endpoint=endpoint, on_connection=self._accept
-        )
+    def __init__(self, *, loop: Loop, network: Network, endpoint: Endpoint) -> None:
+        self._loop = loop
+        self._listener = network.listener(endpoint, self._accept)
         self.revision = 1
         self.entry_by_name: dict[str, UpstreamEntry] = {}
         self.configuration: RoutingConfiguration | None = None
@@ -99,6 +95,10 @@
         """Listen."""
         self._listener.start()
 
+    def close(self) -> None:
+        """Stop listening."""
+        self._listener.close()
+
     def put(self, entry: UpstreamEntry) -> None:
         """Write an entry at a new revision."""
         self.revision += 1
@@ -173,9 +173,9 @@
         if changes is not None:
             connection.answer_later(200, changes)
             return
-        connection.deadline = self._world.now + int(query["wait_ms"][0]) / 1000
+        connection.deadline = self._loop.now() + int(query["wait_ms"][0]) / 1000
         self._waiting.append(connection)
-        self._world.schedule(int(query["wait_ms"][0]) / 1000, lambda: self._expire(connection))
+        self._loop.call_later(int(query["wait_ms"][0]) / 1000, lambda: self._expire(connection))
 
     def _wake(self) -> None:
         waiting, self._waiting = self._waiting, []
@@ -192,26 +192,26 @@
                 connection.answer_later(200, changes)
 
     def _expire(self, connection: _Connection) -> None:
-        if connection in self._waiting and connection.deadline <= self._world.now + 1e-9:
+        if connection in self._waiting and connection.deadline <= self._loop.now() + 1e-9:
             self._waiting.remove(connection)
             if not self.is_silent and connection.address not in self.silent:
                 connection.answer_later(200, self.empty_body())
 
     def _accept(self, stream: ByteStream, endpoint: Endpoint) -> None:
-        _Connection(platform=self, world=self._world, stream=stream, address=endpoint[0])
+        _Connection(platform=self, loop=self._loop, stream=stream, address=endpoint[0])
 
 
 class _Connection:
     def __init__(
         self,
         *,
-        platform: SimulatedPlatform,
-        world: SimulatedWorld,
+        platform: PlatformStandIn,
+        loop: Loop,
         stream: ByteStream,
         address: str,
     ) -> None:
         self._platform = platform
-        self._world = world
+        self._loop = loop
         self._stream = stream
         self.address = address
         self.after = 0
@@ -245,4 +245,4 @@
             self._protocol.start_next_cycle()
             self._stream.send(data)
 
-        self._world.schedule(ANSWER_S, answer)
+        self._loop.call_later(ANSWER_S, answer)
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -4,6 +4,7 @@
 
 import signal
 from typing import TYPE_CHECKING
+from typing import TypedDict
 
 import msgspec
 
@@ -17,14 +18,14 @@
 from laburnumbridge.forwarding.flow_agent import FlowAgent
 from laburnumbridge.forwarding.flow_balancer import FlowBalancer
 from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
-from laburnumbridge.standins.flows.simulated_client import SimulatedClient
-from laburnumbridge.standins.flows.simulated_platform import SimulatedPlatform
-from laburnumbridge.standins.flows.simulated_platform import StandInPlatformCodec
-from laburnumbridge.standins.flows.simulated_upstream import SimulatedUpstream
+from laburnumbridge.standins.flows.client_stand_in import ClientStandIn
+from laburnumbridge.standins.flows.platform_stand_in import PlatformStandIn
+from laburnumbridge.standins.flows.platform_stand_in import StandInPlatformCodec
 from laburnumbridge.standins.flows.simulated_world import SimulatedLoop
 from laburnumbridge.standins.flows.simulated_world import SimulatedNetwork
 from laburnumbridge.standins.flows.simulated_world import SimulatedWorld
 from laburnumbridge.standins.flows.stand_in_packets import StandInPacketCodec
+from laburnumbridge.standins.flows.upstream_stand_in import UpstreamStandIn
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -62,6 +63,11 @@
         self.lines.append((event, {**fields, "outcome": outcome}))
 
 
+class _Own(TypedDict):
+    loop: SimulatedLoop
+    network: SimulatedNetwork
+
+
 class SimulatedFleet:
     """Balancers, agents with upstreams, a platform, a fabric and a client.
 
@@ -81,16 +87,16 @@
         self._directory = directory
         self._slots = slots
         self._work_s = work_s
-        self.platform = SimulatedPlatform(world=self.world, endpoint=PLATFORM)
+        self.platform = PlatformStandIn(**self._own(PLATFORM[0]), endpoint=PLATFORM)
         self.platform.start()
         self.balancers = [f"10.1.0.{number}" for number in range(1, balancers + 1)]
         self.agents = [f"10.2.0.{number}" for number in range(1, agents + 1)]
         self.rotation = list(self.balancers)
         self.process_by_address: dict[str, ForwardingProcess] = {}
         self.log_by_address: dict[str, ListedLog] = {}
-        self.upstream_by_address: dict[str, SimulatedUpstream] = {}
+        self.upstream_by_address: dict[str, UpstreamStandIn] = {}
         self._starts = 0
-        self.client = SimulatedClient(world=self.world, endpoint=CLIENT, fabric=self._route)
+        self.client = ClientStandIn(**self._own(CLIENT[0]), endpoint=CLIENT, fabric=self._route)
 
     def start(self) -> None:
         """Start everything and wait until the view is everywhere."""
@@ -141,8 +147,8 @@
     def start_upstream(self, address: str) -> None:
         """Start the upstream at ``address`` and list it."""
         self._starts += 1
-        upstream = SimulatedUpstream(
-            world=self.world,
+        upstream = UpstreamStandIn(
+            **self._own(address),
             endpoint=(address, UPSTREAM_PORT),
             output=(address, OUTPUT_PORT),
             slots=self._slots,
@@ -215,6 +221,11 @@
         ]
         return holders[-1]
 
+    def _own(self, address: str) -> _Own:
+        """Return the loop and the network of a stand-in at ``address``."""
+        loop = SimulatedLoop(world=self.world, address=address)
+        return {"loop": loop, "network": SimulatedNetwork(loop=loop)}
+
     def _loop(self, address: str) -> SimulatedLoop:
         loop = self.process_by_address[address].loop
         assert isinstance(loop, SimulatedLoop)
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_upstream.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/upstream_stand_in.py
@@ -7,9 +7,6 @@
 from typing import TYPE_CHECKING
 
 from laburnumbridge.core import Choice
-from laburnumbridge.standins.flows.simulated_world import SimulatedDatagramPort
-from laburnumbridge.standins.flows.simulated_world import SimulatedListener
-from laburnumbridge.standins.flows.simulated_world import SimulatedLoop
 from laburnumbridge.standins.flows.stand_in_packets import StandInPacket
 from laburnumbridge.standins.flows.stand_in_packets import StandInPacketCodec
 
@@ -17,7 +14,8 @@
     from laburnumbridge.flows import FlowKey
     from laburnumbridge.flows import FlowPacket
     from laburnumbridge.forwarding.endpoints import Endpoint
-    from laburnumbridge.standins.flows.simulated_world import SimulatedWorld
+    from laburnumbridge.forwarding.network import Loop
+    from laburnumbridge.forwarding.network import Network
 
 
 @dataclass(kw_only=True, slots=True)
@@ -28,7 +26,7 @@
     received_to: int | None = None
 
 
-class SimulatedUpstream:
+class UpstreamStandIn:
     """Runs requests in slots, queues the rest, and returns packets of flows it doesn't hold.
 
     ``ran`` lists the requests that were begun; a flow carries one request in each data packet.
@@ -37,26 +35,23 @@
     def __init__(
         self,
         *,
-        world: SimulatedWorld,
+        loop: Loop,
+        network: Network,
         endpoint: Endpoint,
         output: Endpoint,
         slots: int,
         work_s: float,
         seed: int,
     ) -> None:
-        self._world = world
         self._output = output
         self._slots = slots
         self.work_s = work_s
         self._choice = Choice(seed=seed)
         self._codec = StandInPacketCodec()
-        self._loop = SimulatedLoop(world=world, address=endpoint[0])
-        self._port = SimulatedDatagramPort(
-            loop=self._loop, endpoint=endpoint, on_datagram=self._on_datagram
-        )
-        self._listener = SimulatedListener(
-            loop=self._loop, endpoint=endpoint, on_connection=lambda _stream, _endpoint: None
-        )
+        self._loop = loop
+        self._port = network.datagram_port(endpoint, self._on_datagram)
+        self._listener = network.listener(endpoint, lambda _stream, _endpoint: None)
+        self.is_running = False
         self._by_flow: dict[FlowKey, _Flow] = {}
         self._queue: list[tuple[FlowKey, bytes]] = []
         self.busy = 0
@@ -72,6 +67,7 @@
 
     def start(self) -> None:
         """Receive packets."""
+        self.is_running = True
         self._port.start()
         self._listener.start()
 
@@ -79,7 +75,7 @@
         """End the process; its flows and requests are lost."""
         self._port.close()
         self._listener.close()
-        self._loop.is_alive = False
+        self.is_running = False
 
     def _send(self, datagram: bytes) -> None:
         self._port.send(datagram, self._output)
@@ -131,6 +127,8 @@
         self.most_queued = max(self.most_queued, len(self._queue))
 
     def _finish(self, key: FlowKey, request: bytes) -> None:
+        if not self.is_running:
+            return
         self.busy -= 1
         flow = self._by_flow.get(key)
         if flow is not None:
