Play seeded faults against real forwarding processes

Change: fault_soak starts balancers and agents as processes on loopback addresses, each behind proxies of its own, and kills, ends, pauses and restarts them, crashes and drains upstreams, silences the platform, makes it forget its history, changes configuration and settings, and delays, resets, silences or cuts connections, in series that overlap. Callers must see each request run once at most and answered with its own answer, no reset of an open flow whose upstream lives, and every request of the calm end answered; processes end by SIGTERM with 0, and never by themselves.

--- a/libs/cli/tests/test_flow_commands.py
+++ b/libs/cli/tests/test_flow_commands.py
@@ -8,8 +8,8 @@
 from laburnumbridge.cli.flow_explanation import explain_flow
 from laburnumbridge.core import Event
 from laburnumbridge.forwarding.forwarding_process import flow_text
-from laburnumbridge.standins.flows.simulated_fleet import SERVICE
-from laburnumbridge.standins.flows.simulated_fleet import UNUSED
+from laburnumbridge.standins.flows.process_settings import SERVICE
+from laburnumbridge.standins.flows.process_settings import UNUSED
 from laburnumbridge.standins.flows.simulated_fleet import SimulatedFleet
 
 FLOW = "100.64.0.1:10001>198.18.0.1:443"
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -5,12 +5,12 @@
 from laburnumbridge.core import Choice
 from laburnumbridge.core import Event
 from laburnumbridge.forwarding.network import StreamEnd
+from laburnumbridge.standins.flows.process_settings import OUTPUT_PORT
+from laburnumbridge.standins.flows.process_settings import PACKET_PORT
+from laburnumbridge.standins.flows.process_settings import PEER_PORT
+from laburnumbridge.standins.flows.process_settings import SERVICE
+from laburnumbridge.standins.flows.process_settings import UNUSED
 from laburnumbridge.standins.flows.simulated_fleet import CLIENT
-from laburnumbridge.standins.flows.simulated_fleet import OUTPUT_PORT
-from laburnumbridge.standins.flows.simulated_fleet import PACKET_PORT
-from laburnumbridge.standins.flows.simulated_fleet import PEER_PORT
-from laburnumbridge.standins.flows.simulated_fleet import SERVICE
-from laburnumbridge.standins.flows.simulated_fleet import UNUSED
 from laburnumbridge.standins.flows.simulated_fleet import SimulatedFleet
 from laburnumbridge.standins.flows.simulated_world import SimulatedDatagramPort
 
--- a/libs/standins/src/laburnumbridge/standins/flows/client_stand_in.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/client_stand_in.py
@@ -46,6 +46,7 @@
         self._acknowledged = 0
         self._waiting: list[bytes] = []
         self._current: bytes | None = None
+        self._closes_after_answers = False
         self._timer: Timer | None = None
 
     def open(self) -> None:
@@ -64,6 +65,10 @@
         """Send the last packet."""
         self._send(b"", is_final=True)
 
+    def close_after_answers(self) -> None:
+        """Send the last packet once all requests are answered."""
+        self._closes_after_answers = True
+
     def on_packet(self, datagram: bytes) -> None:
         """Handle a packet from the service's end."""
         packet = self._client.codec.decode_from_upstream(datagram)
@@ -87,6 +92,8 @@
                 self._timer.cancel()
             self._send(b"")
             self._send_next()
+            if self._closes_after_answers and self._current is None:
+                self.close()
 
     def _end(self) -> None:
         self.ended_at = self._client.loop.now()
--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_schedule.py
@@ -0,0 +1,68 @@
+"""Which faults a soak injects, and when."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from laburnumbridge.core import Choice
+
+MEAN_GAP_S = 0.8
+"""With faults of one to four seconds about three overlap at any time."""
+SHORTEST_S = 0.3
+LONGEST_S = 4.0
+SERIES_SHARE = 0.25
+"""A quarter of the faults come again at once, on the same or on another target."""
+SERIES_GAP_S = 0.4
+
+
+class FaultKind(Enum):
+    """A fault that is injected from outside the processes."""
+
+    KILL_BALANCER = "kill_balancer"
+    KILL_AGENT = "kill_agent"
+    TERMINATE_BALANCER = "terminate_balancer"
+    TERMINATE_AGENT = "terminate_agent"
+    PAUSE_BALANCER = "pause_balancer"
+    PAUSE_AGENT = "pause_agent"
+    CRASH_UPSTREAM = "crash_upstream"
+    DRAIN_UPSTREAM = "drain_upstream"
+    PLATFORM_SILENT = "platform_silent"
+    PLATFORM_FORGETS = "platform_forgets"
+    CONFIGURE = "configure"
+    RELOAD = "reload"
+    PROXY_DELAY = "proxy_delay"
+    PROXY_RESET = "proxy_reset"
+    PROXY_SILENCE = "proxy_silence"
+    PROXY_CUT_REPLIES = "proxy_cut_replies"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fault:
+    """One fault; ``target`` lies in [0, 1) and picks a process, an upstream or a proxy."""
+
+    at: float
+    kind: FaultKind
+    target: float
+    for_s: float
+
+
+def make_schedule(*, seed: int, seconds: float) -> list[Fault]:
+    """Return the faults of a seed in the order of their times; all end before ``seconds``."""
+    choice = Choice(seed=seed)
+    kinds = list(FaultKind)
+    faults = []
+    at = 0.0
+    while True:
+        at += 2 * MEAN_GAP_S * choice.fraction()
+        kind = kinds[choice.below(len(kinds))]
+        target = choice.fraction()
+        repeats = 3 if choice.fraction() < SERIES_SHARE else 1
+        for number in range(repeats):
+            for_s = SHORTEST_S + (LONGEST_S - SHORTEST_S) * choice.fraction()
+            begins = at + number * SERIES_GAP_S
+            if begins + for_s < seconds:
+                faults.append(Fault(at=begins, kind=kind, target=target, for_s=for_s))
+            target = target if choice.fraction() < 0.5 else choice.fraction()
+        if at >= seconds:
+            return sorted(faults, key=lambda fault: fault.at)
--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_soak.py
@@ -0,0 +1,284 @@
+"""Plays seeded faults against real forwarding processes and checks what callers see."""
+
+from __future__ import annotations
+
+import json
+import random
+import signal
+import sys
+import tempfile
+from functools import partial
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import typer
+
+from laburnumbridge.core import Choice
+from laburnumbridge.forwarding.event_loop import EventLoop
+from laburnumbridge.standins.flows.fault_proxy import ProxyFault
+from laburnumbridge.standins.flows.fault_schedule import Fault
+from laburnumbridge.standins.flows.fault_schedule import FaultKind
+from laburnumbridge.standins.flows.fault_schedule import make_schedule
+from laburnumbridge.standins.flows.process_fleet import ProcessFleet
+from laburnumbridge.standins.flows.process_settings import SERVICE
+from laburnumbridge.standins.flows.process_settings import STOP_GRACE_S
+from laburnumbridge.standins.flows.promise_checks import SoakFindings
+from laburnumbridge.standins.flows.promise_checks import check_promises
+
+if TYPE_CHECKING:
+    from laburnumbridge.standins.flows.client_stand_in import ClientFlow
+
+BALANCERS = 4
+AGENTS = 6
+REQUEST_INTERVAL_S = 0.01
+"""A hundred requests a second: each upstream is busy for a tenth of its slots."""
+LONG_FLOWS = 20
+LONG_FLOW_INTERVAL_S = 0.05
+START_TIMEOUT_S = 30.0
+SETTLE_S = 3.0
+"""Processes and upstreams serve again within two seconds of a return; one more as a margin."""
+CALM_S = 3.0
+ANSWERED_WITHIN_S = 2.5
+"""In calm time a request takes 30 ms; this covers one loss and the longest retransmission."""
+LISTED_S = 1.5
+"""How long the entry of an upstream that has crashed stays listed."""
+DRAIN_S = 1.0
+STEP_S = 0.1
+
+_PROXY_FAULT = {
+    FaultKind.PROXY_DELAY: ProxyFault.DELAY,
+    FaultKind.PROXY_RESET: ProxyFault.RESET,
+    FaultKind.PROXY_SILENCE: ProxyFault.SILENCE,
+    FaultKind.PROXY_CUT_REPLIES: ProxyFault.CUT_REPLIES,
+}
+
+
+class FaultSoak:
+    """One seed: a fleet, traffic, faults, a calm end, and the checks."""
+
+    def __init__(self, *, directory: Path, seed: int, seconds: float) -> None:
+        self._loop = EventLoop()
+        self._seed = seed
+        self._seconds = seconds
+        self._fleet = ProcessFleet(
+            loop=self._loop, directory=directory, balancers=BALANCERS, agents=AGENTS, seed=seed
+        )
+        self._choice = Choice(seed=seed)
+        self._flows: list[ClientFlow] = []
+        self._long_flows: list[ClientFlow] = []
+        self._calm_requests: list[tuple[ClientFlow, bytes]] = []
+        self._is_calm = False
+        self._is_sending = False
+        self._requests = 0
+        self._absent: set[str] = set()
+        self._paused_until: dict[str, float] = {}
+        self.findings = SoakFindings()
+
+    def run(self) -> SoakFindings:
+        """Play the seed and return what was found. Raises TimeoutError if nothing ever serves."""
+        try:
+            self._fleet.start()
+            self._wait_until_ready()
+            self._is_sending = True
+            self._loop.call_every(REQUEST_INTERVAL_S, self._send_short)
+            self._loop.call_every(LONG_FLOW_INTERVAL_S, self._send_long)
+            for fault in make_schedule(seed=self._seed, seconds=self._seconds):
+                self._loop.call_later(fault.at, partial(self._inject, fault))
+            self._run_for(self._seconds + STOP_GRACE_S + SETTLE_S)
+            self._is_calm = True
+            self._run_for(CALM_S)
+            self._is_sending = self._is_calm = False
+            self._run_for(ANSWERED_WITHIN_S)
+            self._check()
+        finally:
+            self._fleet.close()
+            self._loop.close()
+        return self.findings
+
+    def _run_for(self, seconds: float) -> None:
+        self._loop.call_later(seconds, self._loop.stop)
+        self._loop.run()
+
+    def _wait_until_ready(self) -> None:
+        deadline = self._loop.now() + START_TIMEOUT_S
+        while self._fleet.ready_balancers < BALANCERS:
+            if self._loop.now() > deadline:
+                raise TimeoutError(f"{self._fleet.ready_balancers} of {BALANCERS} balancers ready")
+            self._run_for(STEP_S)
+        self._run_for(1.0)
+
+    # Traffic.
+
+    def _next_request(self) -> bytes:
+        self._requests += 1
+        return b"r%d-%d" % (self._seed, self._requests)
+
+    def _open(self) -> ClientFlow:
+        flow = self._fleet.client.open_flow(SERVICE)
+        self._flows.append(flow)
+        return flow
+
+    def _send_short(self) -> None:
+        if not self._is_sending:
+            return
+        flow, request = self._open(), self._next_request()
+        flow.request(request)
+        flow.close_after_answers()
+        if self._is_calm:
+            self._calm_requests.append((flow, request))
+
+    def _send_long(self) -> None:
+        if not self._is_sending:
+            return
+        if len(self._long_flows) < LONG_FLOWS:
+            self._long_flows.append(self._open())
+            return
+        index = self._choice.below(LONG_FLOWS)
+        flow = self._long_flows[index]
+        if flow.ended_at is not None:
+            flow = self._long_flows[index] = self._open()
+        request = self._next_request()
+        flow.request(request)
+        if self._is_calm:
+            self._calm_requests.append((flow, request))
+
+    # Faults.
+
+    def _inject(self, fault: Fault) -> None:
+        self.findings.counts[f"fault_{fault.kind.value}"] += 1
+        name = fault.kind.value
+        is_balancer = name.endswith("balancer")
+        addresses = self._fleet.balancers if is_balancer else self._fleet.agents
+        address = addresses[int(fault.target * len(addresses))]
+        if name.startswith("kill"):
+            self._end(address, signal.SIGKILL, fault.for_s)
+        elif name.startswith("terminate"):
+            self._end(address, signal.SIGTERM, fault.for_s)
+        elif name.startswith("pause"):
+            self._pause(address, fault.for_s)
+        elif fault.kind is FaultKind.CRASH_UPSTREAM:
+            self._crash(address, fault.for_s)
+        elif fault.kind is FaultKind.DRAIN_UPSTREAM:
+            self._drain(address, fault.for_s)
+        elif fault.kind is FaultKind.PLATFORM_SILENT:
+            self._fleet.platform.is_silent = True
+            self._loop.call_later(fault.for_s, self._platform_returns)
+        elif fault.kind is FaultKind.PLATFORM_FORGETS:
+            self._fleet.platform.compact()
+        elif fault.kind is FaultKind.CONFIGURE:
+            self._fleet.configure()
+        elif fault.kind is FaultKind.RELOAD:
+            self._fleet.write_settings(address)
+            self._fleet.signal(address, signal.SIGHUP)
+        else:
+            self._disturb(fault)
+
+    def _end(self, address: str, number: signal.Signals, absent_s: float) -> None:
+        if address in self._absent:
+            return
+        self._absent.add(address)
+        self._fleet.signal(address, signal.SIGCONT)
+        self._fleet.signal(address, number)
+        began = self._loop.now()
+        self._loop.call_later(STEP_S, partial(self._await_end, address, number, began, absent_s))
+
+    def _await_end(
+        self, address: str, number: signal.Signals, began: float, absent_s: float
+    ) -> None:
+        code = self._fleet.exit_code(address)
+        took_s = self._loop.now() - began
+        if code is None and took_s < STOP_GRACE_S:
+            again = partial(self._await_end, address, number, began, absent_s)
+            self._loop.call_later(STEP_S, again)
+            return
+        if number is signal.SIGTERM and code != 0:
+            self.findings.broken.append(f"{address} ended with {code} after SIGTERM")
+            self._fleet.signal(address, signal.SIGKILL)
+        self._loop.call_later(absent_s, partial(self._return, address))
+
+    def _return(self, address: str) -> None:
+        self._fleet.start_process(address)
+        self._absent.discard(address)
+
+    def _pause(self, address: str, for_s: float) -> None:
+        if address not in self._absent:
+            self._fleet.signal(address, signal.SIGSTOP)
+            self._loop.call_later(for_s, partial(self._fleet.signal, address, signal.SIGCONT))
+
+    def _crash(self, address: str, for_s: float) -> None:
+        if not self._fleet.upstream_by_address[address].is_running:
+            return
+        self._fleet.upstream_by_address[address].crash()
+        self._loop.call_later(LISTED_S, partial(self._unlist, address))
+        self._loop.call_later(max(for_s, 2 * LISTED_S), partial(self._start_again, address))
+
+    def _unlist(self, address: str) -> None:
+        self._fleet.platform.remove(f"up-{address}")
+
+    def _start_again(self, address: str) -> None:
+        self._fleet.start_upstream(address)
+
+    def _drain(self, address: str, for_s: float) -> None:
+        upstream = self._fleet.upstream_by_address[address]
+        if upstream.is_running and upstream.accepts:
+            upstream.accepts = False
+            self._fleet.list_upstream(address, is_draining=True)
+            self._loop.call_later(DRAIN_S, partial(self._crash, address, for_s))
+
+    def _platform_returns(self) -> None:
+        self._fleet.platform.is_silent = False
+
+    def _disturb(self, fault: Fault) -> None:
+        proxies = [
+            proxy for proxies in self._fleet.proxies_by_address.values() for proxy in proxies
+        ]
+        proxy = proxies[int(fault.target * len(proxies))]
+        proxy.inject(_PROXY_FAULT[fault.kind])
+        self._loop.call_later(fault.for_s, partial(proxy.inject, ProxyFault.NONE))
+
+    # Checks.
+
+    def _check(self) -> None:
+        check_promises(self._flows, self._fleet.all_upstreams, self.findings)
+        for flow, request in self._calm_requests:
+            if request not in flow.answers and not (flow in self._long_flows and flow.was_reset):
+                self.findings.broken.append(f"request {request.decode()} of calm time: no answer")
+        for address in (*self._fleet.balancers, *self._fleet.agents):
+            code = self._fleet.exit_code(address)
+            if code is not None:
+                self.findings.broken.append(f"{address} ended by itself with {code}")
+            if b"Traceback" in self._fleet.log_path(address).read_bytes():
+                self.findings.broken.append(f"{address} logged a traceback")
+        self.findings.counts["requests"] = self._requests
+        self.findings.counts["calm_requests"] = len(self._calm_requests)
+
+
+def main(
+    output: Path,
+    first_seed: int = 0,
+    seeds: int = 3,
+    seconds: float = 20.0,
+    logs: Path | None = None,
+) -> None:
+    """Play seeds, write the figures as JSON, and end with 1 if a promise was broken.
+
+    Without ``first_seed`` the seeds are fresh. Logs of a seed that breaks a promise stay in
+    ``logs``.
+    """
+    first = first_seed or random.SystemRandom().randrange(1, 1 << 30)
+    report = {}
+    for seed in range(first, first + seeds):
+        with tempfile.TemporaryDirectory() as folder:
+            directory = Path(folder) if logs is None else logs / str(seed)
+            directory.mkdir(parents=True, exist_ok=True)
+            findings = FaultSoak(directory=directory, seed=seed, seconds=seconds).run()
+        report[str(seed)] = {"broken": findings.broken, **findings.counts}
+        typer.echo(
+            f"seed {seed}: {len(findings.broken)} broken, {findings.counts['answered']} answered"
+        )
+        output.write_text(json.dumps(report, indent=2) + "\n")
+    sys.exit(1 if any(seed["broken"] for seed in report.values()) else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
@@ -0,0 +1,218 @@
+"""Forwarding processes on loopback addresses, with the stand-ins around them in one loop."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from laburnumbridge.core import hash64
+from laburnumbridge.forwarding.socket_network import SocketNetwork
+from laburnumbridge.standins.end_with_parent import end_with_parent
+from laburnumbridge.standins.flows.client_stand_in import ClientStandIn
+from laburnumbridge.standins.flows.fault_proxy import FaultProxy
+from laburnumbridge.standins.flows.platform_stand_in import PlatformStandIn
+from laburnumbridge.standins.flows.process_settings import CONTROL_PORT
+from laburnumbridge.standins.flows.process_settings import OUTPUT_PORT
+from laburnumbridge.standins.flows.process_settings import PACKET_PORT
+from laburnumbridge.standins.flows.process_settings import READY_PORT
+from laburnumbridge.standins.flows.process_settings import SERVICE
+from laburnumbridge.standins.flows.process_settings import UPSTREAM_PORT
+from laburnumbridge.standins.flows.process_settings import process_settings
+from laburnumbridge.standins.flows.published import make_configuration
+from laburnumbridge.standins.flows.published import make_entry
+from laburnumbridge.standins.flows.readiness_checks import ReadinessChecks
+from laburnumbridge.standins.flows.upstream_stand_in import UpstreamStandIn
+from laburnumbridge.standins.loopback_network import LoopbackNetwork
+
+if TYPE_CHECKING:
+    import signal
+    from pathlib import Path
+
+    from laburnumbridge.flows import FlowKey
+    from laburnumbridge.forwarding.endpoints import Endpoint
+    from laburnumbridge.forwarding.event_loop import EventLoop
+
+SEEDS = 3
+PLATFORM_PORT = 8169
+FIRST_PROXY_PORT = 9_000
+SLOTS = 4
+WORK_S = 0.02
+
+
+class ProcessFleet:
+    """Starts, signals and ends the processes; the caller runs the loop.
+
+    Each process reaches the platform and the seeds through proxies of its own. ``ended`` holds
+    the exit codes of processes that nobody killed, by address.
+    """
+
+    def __init__(
+        self, *, loop: EventLoop, directory: Path, balancers: int, agents: int, seed: int
+    ) -> None:
+        self.loop = loop
+        self.network = SocketNetwork(loop=loop)
+        self._directory = directory
+        self._seed = seed
+        self._loopback = LoopbackNetwork(ports=(PLATFORM_PORT,))
+        self._loopback.start()
+        prefix = self._loopback.prefix
+        self._platform_endpoint = (f"{prefix}.0.1", PLATFORM_PORT)
+        self.balancers = [f"{prefix}.1.{number}" for number in range(1, balancers + 1)]
+        self.agents = [f"{prefix}.2.{number}" for number in range(1, agents + 1)]
+        self._proxy_host = f"{prefix}.3.1"
+        self.platform = PlatformStandIn(
+            loop=loop, network=self.network, endpoint=self._platform_endpoint
+        )
+        self.client = ClientStandIn(
+            loop=loop,
+            network=self.network,
+            endpoint=(f"{prefix}.4.1", PACKET_PORT),
+            fabric=self._route,
+        )
+        self._checks = ReadinessChecks(
+            loop=loop,
+            network=self.network,
+            endpoints=[(address, READY_PORT) for address in self.balancers],
+        )
+        self.proxies_by_address: dict[str, list[FaultProxy]] = {}
+        self.upstream_by_address: dict[str, UpstreamStandIn] = {}
+        self.all_upstreams: list[UpstreamStandIn] = []
+        self._process_by_address: dict[str, subprocess.Popen[bytes]] = {}
+        self.version = 1
+
+    def start(self) -> None:
+        """Start everything; the caller waits until balancers are ready."""
+        self.platform.start()
+        self.client.start()
+        self.platform.configure(make_configuration(self.version, (SERVICE,)))
+        for address in self.agents:
+            self.start_upstream(address)
+        for address in (*self.balancers, *self.agents):
+            self._start_proxies(address)
+            self.write_settings(address)
+            self.start_process(address)
+        self._checks.start()
+
+    def close(self) -> None:
+        """End every process that this fleet started."""
+        for process in self._process_by_address.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        self._checks.close()
+        for proxies in self.proxies_by_address.values():
+            for proxy in proxies:
+                proxy.close()
+        for upstream in self.upstream_by_address.values():
+            if upstream.is_running:
+                upstream.crash()
+        self.client.close()
+        self.platform.close()
+        self._loopback.close()
+
+    @property
+    def ready_balancers(self) -> int:
+        """Number of balancers in rotation."""
+        return len(self._checks.ready)
+
+    def configure(self) -> None:
+        """Publish the next version of the configuration, with one more route."""
+        self.version += 1
+        more = ("198.18.0.2", 1_000 + self.version)
+        self.platform.configure(make_configuration(self.version, (SERVICE, more)))
+
+    def start_upstream(self, address: str) -> None:
+        """Start a new upstream at ``address`` and list it."""
+        upstream = UpstreamStandIn(
+            loop=self.loop,
+            network=self.network,
+            endpoint=(address, UPSTREAM_PORT),
+            output=(address, OUTPUT_PORT),
+            slots=SLOTS,
+            work_s=WORK_S,
+            seed=self._seed * 1_000 + len(self.all_upstreams),
+        )
+        upstream.start()
+        self.upstream_by_address[address] = upstream
+        self.all_upstreams.append(upstream)
+        self.list_upstream(address)
+
+    def list_upstream(self, address: str, *, is_draining: bool = False) -> None:
+        """Write the entry of the upstream at ``address``."""
+        started_ms = len(self.all_upstreams)
+        entry = make_entry(address, slots=SLOTS, is_draining=is_draining, started_ms=started_ms)
+        self.platform.put(entry)
+
+    def write_settings(self, address: str) -> None:
+        """Write the settings file of a process; the order of seeds differs each time."""
+        path = self._settings_path(address)
+        proxies = self.proxies_by_address[address]
+        seeds = []
+        for seed, proxy in zip(self.balancers[:SEEDS], proxies[1:], strict=True):
+            host, port = (seed, CONTROL_PORT) if seed == address else proxy.endpoint
+            seeds.append(f"{host}:{port}")
+        is_agent = address in self.agents
+        if path.exists():
+            known = msgspec.json.decode(path.read_bytes())["seeds"]
+            seeds = [*known[1:], known[0]]
+        settings = process_settings(
+            address, platform=proxies[0].endpoint, seeds=seeds, is_agent=is_agent
+        )
+        path.write_bytes(msgspec.json.encode(settings))
+
+    def start_process(self, address: str) -> None:
+        """Start the balancer or agent at ``address``."""
+        role = "agent" if address in self.agents else "balancer"
+        module = "laburnumbridge.standins.flows.run_forwarding"
+        with self.log_path(address).open("ab") as log:
+            self._process_by_address[address] = subprocess.Popen(
+                [sys.executable, "-m", module, role, str(self._settings_path(address))],
+                stdout=log,
+                stderr=log,
+                preexec_fn=end_with_parent,
+            )
+
+    def signal(self, address: str, number: signal.Signals) -> None:
+        """Send a signal to the process at ``address``, if it runs."""
+        process = self._process_by_address[address]
+        if process.poll() is None:
+            process.send_signal(number)
+
+    def exit_code(self, address: str) -> int | None:
+        """Return the exit code of the process at ``address``, or None while it runs."""
+        return self._process_by_address[address].poll()
+
+    def log_path(self, address: str) -> Path:
+        """Return where the process at ``address`` writes its log."""
+        return self._directory / f"{address}.log"
+
+    def _settings_path(self, address: str) -> Path:
+        return self._directory / f"{address}.json"
+
+    def _start_proxies(self, address: str) -> None:
+        targets = [
+            self._platform_endpoint,
+            *((seed, CONTROL_PORT) for seed in self.balancers[:SEEDS]),
+        ]
+        first_port = FIRST_PROXY_PORT + len(self.proxies_by_address) * len(targets)
+        proxies = [
+            FaultProxy(
+                loop=self.loop,
+                network=self.network,
+                endpoint=(self._proxy_host, first_port + number),
+                target=target,
+            )
+            for number, target in enumerate(targets)
+        ]
+        for proxy in proxies:
+            proxy.start()
+        self.proxies_by_address[address] = proxies
+
+    def _route(self, flow: FlowKey) -> Endpoint | None:
+        rotation = sorted(self._checks.ready)
+        if 2 * len(rotation) < len(self.balancers):
+            rotation = self.balancers
+        return rotation[hash64(flow) % len(rotation)], PACKET_PORT
--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/flows/promise_checks.py
@@ -0,0 +1,65 @@
+"""What callers and upstreams must see whatever happens."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from laburnumbridge.core import unpack_ipv4
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from laburnumbridge.flows import FlowKey
+    from laburnumbridge.standins.flows.client_stand_in import ClientFlow
+    from laburnumbridge.standins.flows.upstream_stand_in import UpstreamStandIn
+
+
+@dataclass(kw_only=True, slots=True)
+class SoakFindings:
+    """Broken promises in words, and counts of what happened."""
+
+    broken: list[str] = field(default_factory=list)
+    counts: Counter[str] = field(default_factory=Counter)
+
+
+def check_promises(
+    flows: Iterable[ClientFlow], upstreams: Iterable[UpstreamStandIn], findings: SoakFindings
+) -> None:
+    """Check all flows and runs of a soak.
+
+    Each request runs once at most, gets its own answer, and no open flow is reset while the
+    upstream that holds it lives.
+    """
+    upstreams = list(upstreams)
+    runs = Counter(request for upstream in upstreams for request in upstream.ran)
+    findings.broken += [
+        f"request {request.decode()} ran {count} times"
+        for request, count in runs.items()
+        if count > 1
+    ]
+    for flow in flows:
+        _check_flow(flow, upstreams, findings)
+
+
+def _check_flow(flow: ClientFlow, upstreams: list[UpstreamStandIn], findings: SoakFindings) -> None:
+    name = flow_name(flow.key)
+    for request, answer in flow.answers.items():
+        findings.counts["answered"] += 1
+        if answer != b"answer to " + request:
+            findings.broken.append(f"flow {name}: {request!r} was answered with {answer!r}")
+    if flow.has_given_up:
+        findings.counts["given_up"] += 1
+    if not flow.was_reset:
+        return
+    findings.counts["reset_open" if flow.is_open else "refused"] += 1
+    holders = [upstream for upstream in upstreams if upstream.holds(flow.key)]
+    if flow.is_open and any(upstream.is_running for upstream in holders):
+        findings.broken.append(f"flow {name} was reset while its upstream lives")
+
+
+def flow_name(flow: FlowKey) -> str:
+    """Return a flow's client address and port, as log lines have them."""
+    return f"{unpack_ipv4(flow[0:4])}:{int.from_bytes(flow[4:6], 'big')}"
--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/flows/published.py
@@ -0,0 +1,54 @@
+"""What the stand-in for the platform publishes in fleets of the stand-ins."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from laburnumbridge.catalog import Route
+from laburnumbridge.catalog import RoutingConfiguration
+from laburnumbridge.catalog import ServiceShare
+from laburnumbridge.catalog import UpstreamEntry
+from laburnumbridge.standins.flows.process_settings import SERVICE_NAME
+from laburnumbridge.standins.flows.process_settings import UPSTREAM_PORT
+
+if TYPE_CHECKING:
+    from laburnumbridge.forwarding.endpoints import Endpoint
+
+IDLE_TIMEOUT_MS = 15_000
+
+
+def make_configuration(version: int, endpoints: tuple[Endpoint, ...]) -> RoutingConfiguration:
+    """Return routes from ``endpoints`` to the one service."""
+    return RoutingConfiguration(
+        version=version,
+        routes=tuple(
+            Route(
+                name=f"r-{address}-{port}",
+                address=address,
+                port=port,
+                shares=(ServiceShare(service=SERVICE_NAME, weight=1),),
+                is_retryable=False,
+                is_download=False,
+            )
+            for address, port in endpoints
+        ),
+        idle_timeout_ms=IDLE_TIMEOUT_MS,
+    )
+
+
+def make_entry(
+    address: str, *, slots: int, is_draining: bool = False, started_ms: int = 1
+) -> UpstreamEntry:
+    """Return the entry of the upstream at ``address``."""
+    return UpstreamEntry(
+        name=f"up-{address}",
+        service=SERVICE_NAME,
+        address=address,
+        port=UPSTREAM_PORT,
+        failure_domain="north",
+        slots=slots,
+        is_draining=is_draining,
+        warm_up_left_ms=0,
+        started_ms=started_ms,
+        revision=0,
+    )
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -8,10 +8,6 @@
 
 import msgspec
 
-from laburnumbridge.catalog import Route
-from laburnumbridge.catalog import RoutingConfiguration
-from laburnumbridge.catalog import ServiceShare
-from laburnumbridge.catalog import UpstreamEntry
 from laburnumbridge.core import Event
 from laburnumbridge.core import hash64
 from laburnumbridge.forwarding.decision_log import DecisionLog
@@ -21,6 +17,14 @@
 from laburnumbridge.standins.flows.client_stand_in import ClientStandIn
 from laburnumbridge.standins.flows.platform_stand_in import PlatformStandIn
 from laburnumbridge.standins.flows.platform_stand_in import StandInPlatformCodec
+from laburnumbridge.standins.flows.process_settings import CONTROL_PORT
+from laburnumbridge.standins.flows.process_settings import OUTPUT_PORT
+from laburnumbridge.standins.flows.process_settings import PACKET_PORT
+from laburnumbridge.standins.flows.process_settings import SERVICE
+from laburnumbridge.standins.flows.process_settings import UPSTREAM_PORT
+from laburnumbridge.standins.flows.process_settings import process_settings
+from laburnumbridge.standins.flows.published import make_configuration
+from laburnumbridge.standins.flows.published import make_entry
 from laburnumbridge.standins.flows.simulated_world import SimulatedLoop
 from laburnumbridge.standins.flows.simulated_world import SimulatedNetwork
 from laburnumbridge.standins.flows.simulated_world import SimulatedWorld
@@ -30,22 +34,13 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from laburnumbridge.catalog import UpstreamEntry
     from laburnumbridge.flows import FlowKey
     from laburnumbridge.forwarding.endpoints import Endpoint
     from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
 
-PACKET_PORT = 8172
-PEER_PORT = 7720
-READY_PORT = 8167
-METRICS_PORT = 9464
-CONTROL_PORT = 8166
-UPSTREAM_PORT = 8080
-OUTPUT_PORT = 8162
 PLATFORM: Endpoint = ("10.200.0.1", 8169)
 CLIENT: Endpoint = ("100.64.0.1", PACKET_PORT)
-SERVICE: Endpoint = ("198.18.0.1", 443)
-UNUSED: Endpoint = ("198.18.0.9", 443)
-SERVICE_NAME = "desk"
 
 
 class ListedLog(DecisionLog):
@@ -110,39 +105,11 @@
 
     def configure(self, *, version: int, endpoints: tuple[Endpoint, ...] = (SERVICE,)) -> None:
         """Publish routes from ``endpoints`` to the service."""
-        shares = (ServiceShare(service=SERVICE_NAME, weight=1),)
-        self.platform.configure(
-            RoutingConfiguration(
-                version=version,
-                routes=tuple(
-                    Route(
-                        name=f"r-{address}-{port}",
-                        address=address,
-                        port=port,
-                        shares=shares,
-                        is_retryable=False,
-                        is_download=False,
-                    )
-                    for address, port in endpoints
-                ),
-                idle_timeout_ms=15_000,
-            )
-        )
+        self.platform.configure(make_configuration(version, endpoints))
 
     def entry(self, address: str, *, is_draining: bool = False) -> UpstreamEntry:
         """Return the entry of the upstream at ``address``."""
-        return UpstreamEntry(
-            name=f"up-{address}",
-            service=SERVICE_NAME,
-            address=address,
-            port=UPSTREAM_PORT,
-            failure_domain="north",
-            slots=self._slots,
-            is_draining=is_draining,
-            warm_up_left_ms=0,
-            started_ms=1,
-            revision=0,
-        )
+        return make_entry(address, slots=self._slots, is_draining=is_draining)
 
     def start_upstream(self, address: str) -> None:
         """Start the upstream at ``address`` and list it."""
@@ -237,25 +204,9 @@
         return self.rotation[hash64(flow) % len(self.rotation)], PACKET_PORT
 
     def _settings(self, address: str, *, is_agent: bool) -> dict[str, object]:
-        settings: dict[str, object] = {
-            "process": f"vm-{address}",
-            "failure_domain": "north",
-            "address": address,
-            "packet_endpoint": f"{address}:{PACKET_PORT}",
-            "peer_port": PEER_PORT,
-            "ready_endpoint": f"{address}:{READY_PORT}",
-            "metrics_port": METRICS_PORT,
-            "platform_endpoint": f"{PLATFORM[0]}:{PLATFORM[1]}",
-            "seeds": [f"{seed}:{CONTROL_PORT}" for seed in self.balancers[:3]],
-            "flow_max_age_s": 60,
-            "stop_grace_s": 6,
-        }
-        if is_agent:
-            settings["upstream"] = {
-                "service": SERVICE_NAME,
-                "endpoint": f"{address}:{UPSTREAM_PORT}",
-                "output_endpoint": f"{address}:{OUTPUT_PORT}",
-            }
-        else:
-            settings["control_endpoint"] = f"{address}:{CONTROL_PORT}"
-        return settings
+        return process_settings(
+            address,
+            platform=PLATFORM,
+            seeds=[f"{seed}:{CONTROL_PORT}" for seed in self.balancers[:3]],
+            is_agent=is_agent,
+        )
--- a/libs/standins/src/laburnumbridge/standins/flows/upstream_stand_in.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/upstream_stand_in.py
@@ -65,6 +65,11 @@
         """Number of open flows."""
         return sum(flow.is_open for flow in self._by_flow.values())
 
+    def holds(self, flow: FlowKey) -> bool:
+        """Return whether ``flow`` is open here."""
+        known = self._by_flow.get(flow)
+        return known is not None and known.is_open
+
     def start(self) -> None:
         """Receive packets."""
         self.is_running = True
--- a/libs/standins/src/laburnumbridge/standins/harness.py
+++ b/libs/standins/src/laburnumbridge/standins/harness.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import ctypes
 import json
 import signal
 import subprocess
@@ -15,6 +14,7 @@
 import aiohttp
 
 from laburnumbridge.standins.certificates import CertificateAuthority
+from laburnumbridge.standins.end_with_parent import end_with_parent
 from laburnumbridge.standins.errors import ProcessNotReadyError
 from laburnumbridge.standins.loopback_network import LoopbackNetwork
 from laburnumbridge.wire import Endpoint
@@ -33,9 +33,6 @@
 READY_TIMEOUT_S = 30.0
 SERVER_NAME = "service.example"
 
-PR_SET_PDEATHSIG = 1
-"""Option of Linux's prctl: the signal that a process gets when its parent ends."""
-
 _POLL_S = 0.05
 
 
@@ -70,11 +67,6 @@
 FAILURE_DOMAINS = ("welshpool", "osborne", "midland", "fremantle")
 
 
-def _end_with_parent() -> None:
-    """Have the kernel end this process when the harness is gone, however that ended."""
-    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-
-
 class Harness:
     """Owns the processes that it starts; ``close`` ends exactly those."""
 
@@ -381,7 +373,7 @@
                 [sys.executable, "-m", module, *arguments],
                 stdout=log,
                 stderr=log,
-                preexec_fn=_end_with_parent,
+                preexec_fn=end_with_parent,
             )
 
     def _run_upstream(self, machine: Machine) -> subprocess.Popen[bytes]:
