Name faulty fields by the document's own path, with the value

Cause: check on a guest with the prefix 300.1.1.1/40 printed two errors whose path held names of the validator (lax-or-strict[...]), and a list with one faulty item a second error that called it an empty tuple.

Change: describe_faults follows the validator's location through the document and keeps what leads through it; faults of one field share a line, which shows the value unless the field holds a key, a secret or a token. The settings of processes use it too.

--- a/libs/lists/src/laburnumbridge/lists/__init__.py
+++ b/libs/lists/src/laburnumbridge/lists/__init__.py
@@ -10,7 +10,6 @@
 from laburnumbridge.lists.guest_list import GuestList
 from laburnumbridge.lists.list_problem import ListProblem
 from laburnumbridge.lists.list_problem import Severity
-from laburnumbridge.lists.parsing import format_path
 from laburnumbridge.lists.parsing import parse_list
 from laburnumbridge.lists.plan_list import Plan
 from laburnumbridge.lists.plan_list import PlanList
@@ -18,6 +17,7 @@
 from laburnumbridge.lists.service_list import RoutingKey
 from laburnumbridge.lists.service_list import Service
 from laburnumbridge.lists.service_list import ServiceList
+from laburnumbridge.lists.validation_faults import describe_faults
 from laburnumbridge.lists.vm_list import Vm
 from laburnumbridge.lists.vm_list import VmList
 
@@ -38,6 +38,6 @@
     "Vm",
     "VmList",
     "check_lists",
-    "format_path",
+    "describe_faults",
     "parse_list",
 ]
--- a/libs/settings/src/laburnumbridge/settings/loading.py
+++ b/libs/settings/src/laburnumbridge/settings/loading.py
@@ -7,7 +7,7 @@
 
 from pydantic import ValidationError
 
-from laburnumbridge.lists import format_path
+from laburnumbridge.lists import describe_faults
 from laburnumbridge.settings.errors import InvalidSettingsError
 from laburnumbridge.settings.errors import SettingsNotReadableError
 from laburnumbridge.settings.process_settings import SettingsModel
@@ -32,7 +32,6 @@
         return model.model_validate_json(data)
     except ValidationError as error:
         faults = [
-            f"{format_path('settings', fault['loc'])}: {fault['msg']}"
-            for fault in error.errors(include_url=False)
+            f"{path}: {message}" for path, message in describe_faults("settings", data, error)
         ]
         raise InvalidSettingsError(path=path, faults=faults) from error
