Add 'flow status', which asks running processes that forward flows

Cause: status reached only the processes of the QUIC path; on the platform an operator had to read two pages of each process by hand.

Change: flow status SETTINGS... asks the readiness and the metrics address of each and prints a line for each; a process that doesn't answer is shown with the reason.

--- a/libs/cli/src/laburnumbridge/cli/application.py
+++ b/libs/cli/src/laburnumbridge/cli/application.py
@@ -18,6 +18,7 @@
 from laburnumbridge.cli.commands.explain_command import ExplainCommand
 from laburnumbridge.cli.commands.flow_check_command import FlowCheckCommand
 from laburnumbridge.cli.commands.flow_explain_command import FlowExplainCommand
+from laburnumbridge.cli.commands.flow_status_command import FlowStatusCommand
 from laburnumbridge.cli.commands.report_burn_command import ReportBurnCommand
 from laburnumbridge.cli.commands.report_burn_command import ReportFormat
 from laburnumbridge.cli.commands.status_command import StatusCommand
@@ -182,6 +183,17 @@
     FlowExplainCommand(flow=flow_id, logs=log, as_json=as_json).run()
 
 
+@flow.command("status")
+def show_flow_status(
+    settings: Annotated[
+        list[Path], typer.Argument(metavar="SETTINGS...", help="Settings files of the processes.")
+    ],
+    as_json: options.Json = False,
+) -> None:
+    """Show readiness, age of the view, flows, resets and drops of running processes."""
+    FlowStatusCommand(settings=settings, as_json=as_json).run()
+
+
 @flow.command("check")
 def check_flow_settings(settings: options.SettingsFile) -> None:
     """Check the settings of a process that forwards flows."""
--- /dev/null
+++ b/libs/cli/src/laburnumbridge/cli/commands/flow_status_command.py
@@ -0,0 +1,55 @@
+"""``laburnumbridge flow status``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import typer
+from rich.table import Table
+
+from laburnumbridge.cli.commands.command import Command
+from laburnumbridge.cli.forwarding_status import read_forwarding_status
+from laburnumbridge.cli.output import make_console
+from laburnumbridge.cli.output import to_json
+from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from laburnumbridge.cli.forwarding_status import ForwardingStatus
+
+
+class FlowStatusCommand(Command):
+    """Asks running processes that forward flows for their state."""
+
+    def __init__(self, *, settings: Sequence[Path], as_json: bool) -> None:
+        self._settings = settings
+        self._as_json = as_json
+
+    def run(self) -> None:
+        """Print a line for each settings file; raises InvalidSettingsError before any is asked."""
+        checked = [load_forwarding_settings(path) for path in self._settings]
+        statuses = [read_forwarding_status(settings) for settings in checked]
+        if self._as_json:
+            typer.echo(to_json(statuses))
+        else:
+            make_console().print(build_status_table(statuses))
+
+
+def build_status_table(statuses: Sequence[ForwardingStatus]) -> Table:
+    """Return the processes as a table, in the order of their settings files."""
+    table = Table()
+    for column in ("process", "role", "readiness"):
+        table.add_column(column, overflow="fold")
+    for column in ("view age s", "flows", "busy", "resets", "drops"):
+        table.add_column(column, justify="right")
+    for status in statuses:
+        figures = (status.view_age_s, status.flows, status.busy, status.resets, status.drops)
+        table.add_row(
+            status.process,
+            status.role,
+            status.readiness,
+            *("-" if figure is None else f"{figure:g}" for figure in figures),
+        )
+    return table
--- /dev/null
+++ b/libs/cli/src/laburnumbridge/cli/forwarding_status.py
@@ -0,0 +1,75 @@
+"""What a process that forwards flows says of itself."""
+
+from __future__ import annotations
+
+import http.client
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from laburnumbridge.forwarding.endpoints import parse_endpoint
+
+if TYPE_CHECKING:
+    from laburnumbridge.forwarding.endpoints import Endpoint
+    from laburnumbridge.forwarding.forwarding_settings import ForwardingSettings
+
+TIMEOUT_S = 2.0
+"""A process answers in milliseconds; one that has stopped doesn't hold the others up for long."""
+_PREFIX = "laburnumbridge_"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForwardingStatus:
+    """One process; ``readiness`` is its own answer, or why there is none.
+
+    Figures are None where the process didn't answer or has no such figure.
+    """
+
+    process: str
+    role: str
+    readiness: str
+    view_age_s: float | None = None
+    flows: float | None = None
+    busy: float | None = None
+    resets: float | None = None
+    drops: float | None = None
+
+
+def read_forwarding_status(settings: ForwardingSettings) -> ForwardingStatus:
+    """Ask the process that runs with ``settings``."""
+    role = "balancer" if settings.upstream is None else "agent"
+    try:
+        readiness = _get(parse_endpoint(settings.ready_endpoint), "/readyz")
+        figures = parse_metrics(_get((settings.address, settings.metrics_port), "/metrics"))
+    except (OSError, http.client.HTTPException) as error:
+        reason = f"no answer: {error or type(error).__name__}"
+        return ForwardingStatus(process=settings.process, role=role, readiness=reason)
+    return ForwardingStatus(
+        process=settings.process,
+        role=role,
+        readiness=readiness.strip(),
+        view_age_s=figures.get("view_age_seconds"),
+        flows=figures.get("flows_known" if role == "balancer" else "flows_open"),
+        busy=figures.get("requests_busy"),
+        resets=figures.get("flow_resets_total", 0.0),
+        drops=figures.get("packets_dropped_total", 0.0),
+    )
+
+
+def parse_metrics(text: str) -> dict[str, float]:
+    """Return the figures of a metrics page by name, summed over their labels."""
+    figures: dict[str, float] = {}
+    for line in text.splitlines():
+        name, _, value = line.rpartition(" ")
+        name = name.partition("{")[0].removeprefix(_PREFIX)
+        if name and not line.startswith("#"):
+            figures[name] = figures.get(name, 0.0) + float(value)
+    return figures
+
+
+def _get(endpoint: Endpoint, path: str) -> str:
+    connection = http.client.HTTPConnection(*endpoint, timeout=TIMEOUT_S)
+    try:
+        connection.request("GET", path)
+        return connection.getresponse().read().decode()
+    finally:
+        connection.close()
