--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -53,6 +53,20 @@
         fleet.world.run_for(10.0)
         assert set(fleet.platform.calls) == set(fleet.balancers[:3])
 
+    def test_a_lost_answer_comes_again_and_nothing_runs_twice(self, fleet):
+        # Guards against a flow that waits for ever: an agent that was killed took the answer with
+        # it, and the soak's upstream didn't repeat it.
+        flow = fleet.client.open_flow(SERVICE)
+        fleet.world.run_for(0.1)
+        fleet.world.lose = lambda datagram, _endpoint: b"answer to" in datagram
+        flow.request(b"r1")
+        fleet.world.run_for(0.15)
+        fleet.world.lose = lambda _datagram, _endpoint: False
+        fleet.world.run_for(0.5)
+        assert flow.answers == {b"r1": b"answer to r1"}
+        ran = [run for upstream in fleet.upstream_by_address.values() for run in upstream.ran]
+        assert ran == [b"r1"]
+
 
 class TestBalancersChange:
     def test_open_flows_survive_a_new_hash_of_the_fabric(self, fleet):
--- a/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
@@ -4,6 +4,7 @@
 
 import subprocess
 import sys
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -81,6 +82,7 @@
         self.upstream_by_address: dict[str, UpstreamStandIn] = {}
         self.all_upstreams: list[UpstreamStandIn] = []
         self._process_by_address: dict[str, subprocess.Popen[bytes]] = {}
+        self._starts_by_address: Counter[str] = Counter()
         self.version = 1
 
     def start(self) -> None:
@@ -165,6 +167,7 @@
 
     def start_process(self, address: str) -> None:
         """Start the balancer or agent at ``address``."""
+        self._starts_by_address[address] += 1
         role = "agent" if address in self.agents else "balancer"
         module = "laburnumbridge.standins.flows.run_forwarding"
         with self.log_path(address).open("ab") as log:
@@ -185,6 +188,11 @@
         """Return the exit code of the process at ``address``, or None while it runs."""
         return self._process_by_address[address].poll()
 
+    def has_started(self, address: str) -> bool:
+        """Return whether the process that was started last at ``address`` has logged its start."""
+        logged = self.log_path(address).read_bytes().count(b'"process_started"')
+        return logged == self._starts_by_address[address]
+
     def log_path(self, address: str) -> Path:
         """Return where the process at ``address`` writes its log."""
         return self._directory / f"{address}.log"
