--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -6,7 +6,12 @@
 
 from laburnumbridge.core import Choice
 from laburnumbridge.core import Event
+from laburnumbridge.flows import FlowKey
+from laburnumbridge.flows.peer_datagrams import Envelope
+from laburnumbridge.flows.peer_datagrams import SearchStage
+from laburnumbridge.flows.peer_datagrams import encode_envelope
 from laburnumbridge.forwarding.network import StreamEnd
+from laburnumbridge.forwarding.service_directory import service_tag
 from laburnumbridge.standins.flows.process_settings import OUTPUT_PORT
 from laburnumbridge.standins.flows.process_settings import PACKET_PORT
 from laburnumbridge.standins.flows.process_settings import PEER_PORT
@@ -15,6 +20,7 @@
 from laburnumbridge.standins.flows.simulated_fleet import CLIENT
 from laburnumbridge.standins.flows.simulated_fleet import SimulatedFleet
 from laburnumbridge.standins.flows.simulated_world import SimulatedDatagramPort
+from laburnumbridge.standins.flows.stand_in_packets import StandInPacket
 
 
 @pytest.fixture
@@ -99,6 +105,27 @@
         fleet.world.run_for(2.0)
         assert all(len(flow.answers) == 2 and not flow.was_reset for flow in flows)
 
+    def test_a_keepers_record_spares_the_search(self, tmp_path):
+        # Guards against a search that asks half of all agents for each flow that a balancer
+        # doesn't know: at 8,500 agents it would never end.
+        fleet = SimulatedFleet(directory=tmp_path, agents=12)
+        fleet.start()
+        flows = [fleet.client.open_flow(SERVICE) for _ in range(20)]
+        for flow in flows:
+            flow.request(b"first " + flow.key)
+        fleet.world.run_for(2.0)
+        fleet.rotation = [fleet.start_balancer("10.1.0.9")]
+        fleet.world.run_for(1.0)
+        for flow in flows:
+            flow.request(b"second " + flow.key)
+        fleet.world.run_for(1.0)
+        assert all(len(flow.answers) == 2 for flow in flows)
+        hops = sum(
+            fleet.process_by_address[agent].metrics.value("search_hops_total")
+            for agent in fleet.agents
+        )
+        assert hops == 0
+
     def test_a_balancer_learns_where_a_flow_is(self, fleet):
         # Guards against a search for every packet of a flow after a change of the fabric's hash.
         flow = fleet.client.open_flow(SERVICE)
@@ -114,16 +141,28 @@
     def test_a_planned_stop_waits_until_the_fabric_is_quiet(self, fleet):
         # Guards against a balancer that ends while the fabric still sends it packets.
         leaving = fleet.balancers[0]
+        fleet.rotation = [leaving]
         fleet.terminate(leaving)
         flow = fleet.client.open_flow(SERVICE)
-        for number in range(10):
+        for number in range(20):
             flow.request(b"r%d" % number)
             fleet.world.run_for(0.1)
         assert fleet.is_running(leaving)
         fleet.rotation = fleet.balancers[1:]
         fleet.world.run_for(3.0)
         assert not fleet.is_running(leaving)
-        assert len(flow.answers) == 10
+        assert len(flow.answers) == 20
+
+    def test_a_planned_stop_gives_the_fabric_time_to_notice(self, fleet):
+        # Guards against a balancer without traffic that ends at once: the fabric sends it packets
+        # until two readiness checks have failed, half a second apart.
+        leaving = fleet.balancers[0]
+        fleet.rotation = [leaving]
+        fleet.terminate(leaving)
+        fleet.world.run_for(1.0)
+        flow = fleet.client.open_flow(SERVICE)
+        fleet.world.run_for(0.05)
+        assert flow.is_open
 
 
 class TestUpstreamLost:
@@ -323,13 +362,17 @@
         fleet.kill(holder)
         fleet.upstream_by_address[holder].crash()
         fleet.platform.remove(f"up-{holder}")
-        fleet.world.run_for(0.05)
         fleet.rotation = [fleet.start_balancer("10.1.0.9")]
-        fleet.world.run_for(0.2)
+        fleet.world.run_for(1.0)
+        fleet.agents.append("10.2.0.9")
+        fleet.start_upstream("10.2.0.9")
+        fleet.start_process("10.2.0.9")
+        fleet.world.run_for(0.05)
         flow.request(b"second")
         fleet.world.run_for(0.19)
         assert fleet.lines(Event.FLOW_SEARCHED)
-        fleet.world.run_for(0.25)
+        assert not flow.was_reset
+        fleet.world.run_for(0.2)
         assert flow.was_reset
 
     def test_a_search_is_not_repeated_because_agents_left(self, fleet):
@@ -614,6 +657,35 @@
         assert not any(flow.was_reset for flow in flows)
         assert all(len(flow.answers) == 2 for flow in flows)
 
+    def test_a_planned_stop_lets_requests_at_work_end(self, fleet):
+        # Guards against answers that are lost with the agent and come only after the client has
+        # repeated its request to the next one.
+        flow = fleet.client.open_flow(SERVICE)
+        fleet.world.run_for(0.5)
+        flow.request(b"r1")
+        fleet.world.run_for(0.02)
+        fleet.terminate(fleet.holder(flow.key))
+        fleet.world.run_for(0.1)
+        assert flow.answers
+
+    def test_an_opening_for_another_service_never_reaches_the_upstream(self, fleet):
+        # Guards against clients that get the answers of a service they didn't ask: a balancer with
+        # an old view sends openings to an address that serves something else by now.
+        agent, balancer = fleet.agents[0], fleet.process_by_address[fleet.balancers[0]]
+        flow = FlowKey(bytes.fromhex("6440000127110a0000010101"))
+        opening = StandInPacket(flow=flow, sequence=0, acknowledged=0, is_opening=True)
+        envelope = Envelope(
+            stage=SearchStage.DIRECT,
+            hops=0,
+            service_tag=service_tag("another"),
+            entry_address=fleet.balancers[0],
+            raw=opening.encode(),
+        )
+        balancer.peers.send(encode_envelope(envelope), (agent, PEER_PORT))
+        fleet.world.run_for(0.5)
+        assert fleet.lines(Event.FLOW_RESET, "other_service")
+        assert not any(upstream.openings for upstream in fleet.upstream_by_address.values())
+
     def test_the_flows_of_an_upstream_that_has_ended_are_reset_at_the_stop(self, fleet):
         # Guards against clients that wait for their deadline after a planned replacement.
         flow = fleet.client.open_flow(SERVICE)
@@ -674,6 +746,19 @@
         served = [flow for flow in backlog if flow.answers]
         assert len(served) >= 0.9 * len(backlog)
 
+    def test_openings_that_meet_at_one_agent_go_on_to_idle_ones(self, tmp_path):
+        # Guards against requests that queue while slots are free: balancers that place at the same
+        # moment don't know of each other's choice.
+        fleet = SimulatedFleet(directory=tmp_path, balancers=6, agents=12, slots=1)
+        fleet.start()
+        for burst in range(10):
+            flows = [fleet.client.open_flow(SERVICE) for _ in range(6)]
+            for flow in flows:
+                flow.request(b"%d " % burst + flow.key)
+            fleet.world.run_for(0.5)
+        assert fleet.lines(Event.FLOW_HANDED_OVER, "busy")
+        assert [one.most_queued for one in fleet.upstream_by_address.values()] == [0] * 12
+
     def test_an_upstream_gets_little_more_than_it_runs(self, fleet):
         # Guards against an upstream that sheds load although its agent knows that it is full.
         self.arrive(fleet, 240, b"old ")
