--- a/libs/flows/src/laburnumbridge/flows/flow_directory.py
+++ b/libs/flows/src/laburnumbridge/flows/flow_directory.py
@@ -39,7 +39,7 @@
 
     ``upstream_sequence`` is the first sequence number that the upstream chose, or None for a flow
     whose opening this process has not seen. ``request_since`` is when the request that the
-    upstream works on arrived, or None between requests.
+    upstream works on arrived, or None between requests; it ``has_waited`` if all slots were taken.
     """
 
     state: FlowState
@@ -49,6 +49,7 @@
     client_sequence: int | None = None
     client_acknowledged: int = 0
     request_since: float | None = None
+    has_waited: bool = False
     answered_since_request: bool = True
     client_finished: bool = False
     upstream_finished: bool = False
@@ -60,6 +61,7 @@
 
     Answers which flows are open there and how many requests the upstream works on, and tells
     ``outcomes`` how requests end. Bounded by ``limit`` records; idle and old flows expire.
+    ``slots`` is what the upstream runs at once, 0 while that isn't known.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
     ) -> None:
         self._limit = limit
         self._outcomes = outcomes
+        self.slots = 0
         self.idle_s = idle_s
         self._max_age_s = max_age_s
         self._by_flow: dict[FlowKey, FlowRecord] = {}
@@ -148,6 +151,8 @@
             record.answered_since_request = False
             record.requests += 1
             record.request_since = now
+            others = len(self._busy) - (packet.flow in self._busy)
+            record.has_waited = others >= self.slots
         self._busy.add(packet.flow)
 
     def upstream_packet(self, packet: FlowPacket, now: float) -> bool:
@@ -189,7 +194,7 @@
         self._busy.discard(flow)
         if record.request_since is not None:
             seconds = now - record.request_since
-            self._outcomes.answered(seconds, now)
+            self._outcomes.answered(seconds, now, has_waited=record.has_waited)
             if len(self.answer_seconds) < ANSWER_TIMES_LIMIT:
                 self.answer_seconds.append(seconds)
         record.request_since = None
--- a/libs/flows/src/laburnumbridge/flows/upstream_outcomes.py
+++ b/libs/flows/src/laburnumbridge/flows/upstream_outcomes.py
@@ -58,11 +58,15 @@
         recent = [failed for at, failed in self._recent if now - at <= RECENT_S]
         return sum(recent), len(recent)
 
-    def answered(self, seconds: float, now: float) -> None:
-        """Note an answer that began ``seconds`` after its request."""
+    def answered(self, seconds: float, now: float, *, has_waited: bool = False) -> None:
+        """Note an answer that began ``seconds`` after its request.
+
+        A request that ``has_waited`` for a slot doesn't tell the usual time: after an overload
+        normal answers would look quick.
+        """
         is_known = self._answers >= BASELINE_ANSWERS
         is_quick = is_known and seconds < QUICK_SHARE * self._usual_s
-        if not is_quick:
+        if not is_quick and not has_waited:
             self._answers += 1
             weight = max(1 / self._answers, BASELINE_WEIGHT)
             self._usual_s += (seconds - self._usual_s) * weight
--- a/libs/flows/tests/test_upstream_outcomes.py
+++ b/libs/flows/tests/test_upstream_outcomes.py
@@ -95,6 +95,18 @@
             played.answer(USUAL_S * 0.6)
             assert not played.is_failing
 
+    def test_requests_that_waited_for_a_slot_do_not_set_the_usual_time(self):
+        # Guards against healthy upstreams that are avoided after an overload: on a played day 30
+        # of 47 were, since the answers of the overload had become the usual ones.
+        outcomes, now = UpstreamOutcomes(), 100.0
+        for _ in range(200):
+            now += INTERVAL_S
+            outcomes.answered(6 * USUAL_S, now, has_waited=True)
+        for _ in range(200):
+            now += INTERVAL_S
+            outcomes.answered(USUAL_S, now)
+            assert not outcomes.is_failing(now)
+
     def test_nothing_is_judged_before_the_usual_time_is_known(self):
         # Guards against a new process that takes the first quick answers for errors.
         outcomes = UpstreamOutcomes()
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -154,6 +154,8 @@
             self._flows.idle_s = self.directory.idle_timeout_s
         if any(entry.address == self.settings.address for entry in update.entries):
             self._was_listed = True
+        entry = self.directory.entry(self.settings.address)
+        self._flows.slots = 0 if entry is None else entry.slots
         if update.entries or update.removals:
             listed = {entry.address for entry in self.view.catalog.entry_by_name.values()}
             self._choice.keep_only(listed)
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -491,6 +491,19 @@
         self.send_requests(fleet, 6.0)
         assert len(failing.ran) > ran_before + 50
 
+    def test_no_upstream_is_avoided_after_an_overload(self, fleet):
+        # Guards against normal answers that look like errors beside those of the overload.
+        flows = []
+        for _ in range(200):
+            flows.append(fleet.client.open_flow(SERVICE))
+            fleet.world.run_for(0.02)
+        for burst in range(5):
+            for flow in flows:
+                flow.request(b"%d " % burst + flow.key)
+        fleet.world.run_for(8.0)
+        self.send_requests(fleet, 3.0)
+        assert not fleet.lines(Event.UPSTREAM_FAILING)
+
     def test_nothing_is_refused_when_all_upstreams_fail(self, fleet):
         # Guards against refusals that only a judgement of this system causes.
         self.send_requests(fleet, 2.0)
