--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -618,15 +618,20 @@
             catalog = fleet.process_by_address[address].view.catalog
             assert catalog.entry_by_name[f"up-{fleet.agents[0]}"].is_draining
 
-    @pytest.mark.parametrize("how", ["refused", "silent"])
-    def test_a_leaving_upstream_is_known_in_time_though_all_seeds_are_turned_away(self, fleet, how):
+    @pytest.mark.parametrize(
+        ("how", "before_s", "known_in_s"), [("silent", 0.0, 2.9), ("refused", 3.2, 0.5)]
+    )
+    def test_a_leaving_upstream_is_known_in_time_though_all_seeds_are_turned_away(
+        self, fleet, how, before_s, known_in_s
+    ):
         # Guards against new requests at an upstream more than 3 s after it said that it leaves: on
         # a hunted day the platform refused all seeds, and others read only after 5 s.
         fleet.world.run_for(3.0)
         turned_away = fleet.platform.refused if how == "refused" else fleet.platform.silent
         turned_away |= set(fleet.balancers[:3])
+        fleet.world.run_for(before_s)
         fleet.platform.put(fleet.entry(fleet.agents[0], is_draining=True))
-        fleet.world.run_for(2.9)
+        fleet.world.run_for(known_in_s)
         for address in (*fleet.balancers, *fleet.agents):
             catalog = fleet.process_by_address[address].view.catalog
             assert catalog.entry_by_name[f"up-{fleet.agents[0]}"].is_draining
