Never hold an opening for another service at an agent without a view

An agent without a view holds openings that it can't hand over, and held openings go to its own upstream once that has a free slot; an opening for another service, sent by a balancer with an old view, would have reached the wrong upstream.

Change: such an opening is refused at once. A method and a comment of the search say plainly what they do.

--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -335,7 +335,7 @@
                 self._locate(packet.flow, envelope.entry_address)
             self._deliver(packet, envelope)
             return
-        if self._search.has_lost_its_way(packet, envelope):
+        if self._search.drop_after_max_hops(packet, envelope):
             return
         if envelope.stage is not SearchStage.RANKED_NO_RECORDS:
             agent = self._handed_over.get(packet.flow, now)
@@ -418,9 +418,10 @@
     def _refuse(self, packet: FlowPacket, envelope: Envelope, reason: str, now: float) -> None:
         """Answer an opening packet that no agent takes; nothing has run.
 
-        Before this process has a view it can't know that: others may take the packet then.
+        Before this process has a view it can't know that: others may take the packet then. What is
+        meant for another service is not held, since held packets go to the own upstream.
         """
-        if self.view.catalog.is_ready:
+        if self.view.catalog.is_ready or envelope.service_tag != self._own_tag:
             self._reset(packet.flow, packet.acknowledged, reason)
         else:
             self._hold(packet, envelope, now)
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_search.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_search.py
@@ -25,7 +25,8 @@
 REPEATED_SEARCHES_LIMIT = 512
 """Packets that wait for a second search; at 1.3 KB each they stay below a megabyte."""
 FRESH_VIEW_S = 5.0
-"""A watch of the platform confirms the view within 4 s."""
+"""Another process reads the platform after 2.7 s at the latest, so an older view means that the
+platform is away, and an agent may have come that this process doesn't know."""
 
 
 class FlowSearch:
@@ -46,8 +47,8 @@
         self._reset = reset
         self._to_repeat = 0
 
-    def has_lost_its_way(self, packet: FlowPacket, envelope: Envelope) -> bool:
-        """Return whether a packet was passed on too often; it is dropped then."""
+    def drop_after_max_hops(self, packet: FlowPacket, envelope: Envelope) -> bool:
+        """Drop a packet that was passed on too often, and return whether it was."""
         if envelope.hops < MAX_HOPS:
             return False
         self._process.drop("hops", flow=flow_text(packet.flow))
@@ -93,6 +94,6 @@
 
     def _repeat(self, packet: FlowPacket, envelope: Envelope) -> None:
         self._to_repeat -= 1
-        if not self.has_lost_its_way(packet, envelope):
+        if not self.drop_after_max_hops(packet, envelope):
             again = replace(envelope, stage=SearchStage.RECORDED)
             self.pass_on(packet, again, self._process.loop.now())
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -699,10 +699,21 @@
         fleet.world.run_for(0.1)
         assert flow.answers
 
-    def test_an_opening_for_another_service_never_reaches_the_upstream(self, fleet):
+    @pytest.mark.parametrize("has_view", [True, False])
+    def test_an_opening_for_another_service_never_reaches_the_upstream(self, fleet, has_view):
         # Guards against clients that get the answers of a service they didn't ask: a balancer with
-        # an old view sends openings to an address that serves something else by now.
+        # an old view sends openings to an address that serves something else by now. An agent
+        # without a view must not hold them either, since held openings go to its own upstream.
         agent, balancer = fleet.agents[0], fleet.process_by_address[fleet.balancers[0]]
+        if not has_view:
+            fleet.platform.silent.add(agent)
+            for seed in fleet.balancers[:3]:
+                fleet.world.cut(agent, seed)
+            fleet.kill(agent)
+            fleet.start_process(agent)
+            sender = fleet.start_balancer("10.1.0.9")
+            fleet.world.run_for(0.5)
+            balancer = fleet.process_by_address[sender]
         flow = FlowKey(bytes.fromhex("6440000127110a0000010101"))
         opening = StandInPacket(flow=flow, sequence=0, acknowledged=0, is_opening=True)
         envelope = Envelope(
