--- a/libs/forwarding/tests/test_loopback.py
+++ b/libs/forwarding/tests/test_loopback.py
@@ -7,8 +7,6 @@
 import msgspec
 import pytest
 
-from laburnumbridge.core import pack_ipv4
-from laburnumbridge.flows import FlowKey
 from laburnumbridge.forwarding.decision_log import DecisionLog
 from laburnumbridge.forwarding.event_loop import EventLoop
 from laburnumbridge.forwarding.flow_agent import FlowAgent
@@ -18,40 +16,16 @@
 from laburnumbridge.standins.benchmarks.flow_balancer_target import SERVICE_ADDRESS
 from laburnumbridge.standins.benchmarks.flow_balancer_target import SERVICE_PORT
 from laburnumbridge.standins.benchmarks.flow_balancer_target import make_view
+from laburnumbridge.standins.flows.client_stand_in import ClientStandIn
 from laburnumbridge.standins.flows.platform_stand_in import StandInPlatformCodec
-from laburnumbridge.standins.flows.stand_in_packets import StandInPacket
 from laburnumbridge.standins.flows.stand_in_packets import StandInPacketCodec
+from laburnumbridge.standins.flows.upstream_stand_in import UpstreamStandIn
 
 GIVE_UP_S = 30.0
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 CODEC = StandInPacketCodec()
 
 
-class Upstream:
-    """Answers an opening packet and returns everything else that it doesn't hold."""
-
-    def __init__(self, *, network, endpoint, output):
-        self._output = output
-        self._port = network.datagram_port(endpoint, self._on_datagram)
-        self.requests = []
-        self.close = self._port.close
-
-    def start(self):
-        self._port.start()
-
-    def _on_datagram(self, datagram, _sender):
-        packet = CODEC.decode_from_client(datagram)
-        answer = {"flow": packet.flow, "acknowledged": 0, "is_answer": True}
-        if packet.is_opening:
-            reply = StandInPacket(sequence=700, is_opening=True, **answer).encode()
-        elif packet.data_length and packet.acknowledged == 701:
-            self.requests.append(CODEC.data(datagram))
-            reply = StandInPacket(sequence=701, data=b"answer", **answer).encode()
-        else:
-            reply = CODEC.bounced(datagram)
-        self._port.send(reply, self._output)
-
-
 @pytest.fixture
 def loop():
     handlers = {number: signal.getsignal(number) for number in HANDLED_SIGNALS}
@@ -113,11 +87,20 @@
 class TestLoopback:
     def test_a_request_crosses_real_sockets(self, loop, host, start):
         # Guards against faults that simulated sockets can't show: addresses, ports and descriptors.
-        balancer_address, agent_address, client = f"{host}.0.1", f"{host}.0.2", f"{host}.0.3"
+        balancer_address, agent_address, client_address = (
+            f"{host}.0.{number}" for number in (1, 2, 3)
+        )
+        endpoint, output = (agent_address, 4_711), (agent_address, 4_712)
         network = SocketNetwork(loop=loop)
-        upstream_endpoint = (agent_address, 4_711)
-        output = (agent_address, 4_712)
-        upstream = Upstream(network=network, endpoint=upstream_endpoint, output=output)
+        upstream = UpstreamStandIn(
+            loop=loop,
+            network=network,
+            endpoint=endpoint,
+            output=output,
+            slots=1,
+            work_s=0.01,
+            seed=1,
+        )
         upstream.start()
         balancer = start(FlowBalancer, balancer_address)
         agent = start(
@@ -125,37 +108,25 @@
             agent_address,
             upstream={
                 "service": "desk",
-                "endpoint": f"{agent_address}:{upstream_endpoint[1]}",
+                "endpoint": f"{agent_address}:{endpoint[1]}",
                 "output_endpoint": f"{agent_address}:{output[1]}",
             },
         )
         for process in (balancer, agent):
             process.view.take(make_view(agent_address))
-        flow = FlowKey(
-            pack_ipv4(client)
-            + (9_000).to_bytes(2, "big")
-            + pack_ipv4(SERVICE_ADDRESS)
-            + SERVICE_PORT.to_bytes(2, "big")
+        client = ClientStandIn(
+            loop=loop,
+            network=network,
+            endpoint=(client_address, start.packet_port),
+            fabric=lambda _flow: (balancer_address, start.packet_port),
         )
-        entry = (balancer_address, start.packet_port)
-        received = []
-
-        def on_datagram(datagram, _sender):
-            packet = CODEC.decode_from_upstream(datagram)
-            received.append(CODEC.data(datagram))
-            if packet.is_opening_answer:
-                request = StandInPacket(flow=flow, sequence=1, acknowledged=701, data=b"request")
-                port.send(request.encode(), entry)
-            else:
-                loop.stop()
-
-        port = network.datagram_port((client, start.packet_port), on_datagram)
-        port.start()
-        opening = StandInPacket(flow=flow, sequence=0, acknowledged=0, is_opening=True)
-        port.send(opening.encode(), entry)
+        client.start()
+        flow = client.open_flow((SERVICE_ADDRESS, SERVICE_PORT))
+        flow.request(b"request")
+        loop.call_every(0.01, lambda: loop.stop() if flow.answers else None)
         loop.run()
-        port.close()
-        upstream.close()
-        assert upstream.requests == [b"request"]
-        assert received == [b"", b"answer"]
+        client.close()
+        upstream.crash()
+        assert upstream.ran == [b"request"]
+        assert flow.answers == {b"request": b"answer to request"}
         assert balancer.metrics.value("flows_placed_total") == 1
