--- a/libs/standins/src/laburnumbridge/standins/flows/fault_soak.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_soak.py
@@ -84,7 +84,6 @@
         self._is_sending = False
         self._requests = 0
         self._absent: set[str] = set()
-        self._paused_until: dict[str, float] = {}
         self.findings = SoakFindings()
 
     def run(self) -> SoakFindings:
--- a/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
@@ -57,6 +57,7 @@
         self.network = SocketNetwork(loop=loop)
         self._directory = directory
         self._seed = seed
+        # Claimed here, since the stand-ins are built with addresses; ``close`` gives it back.
         self._loopback = LoopbackNetwork(ports=(PLATFORM_PORT,))
         self._loopback.start()
         prefix = self._loopback.prefix
--- a/libs/standins/src/laburnumbridge/standins/harness.py
+++ b/libs/standins/src/laburnumbridge/standins/harness.py
@@ -78,6 +78,7 @@
         balancers: int = 3,
         work_ms: float = 20.0,
     ) -> None:
+        # Claimed here, since guests are built with addresses before anything is started.
         self._network = LoopbackNetwork(ports=(HTTP_PORT,))
         self._network.start()
         self._prefix = self._network.prefix
