Let the test's stranger bind as servers do

The network of earlier tests of the same process is free again by then, but connections to its port are still in TIME_WAIT, and the stranger bound without SO_REUSEADDR, unlike the probe and unlike any server.

Change: it sets the option; a port on which somebody listens still can't be bound.

--- a/libs/standins/tests/test_harness.py
+++ b/libs/standins/tests/test_harness.py
@@ -42,6 +42,8 @@
         free.start()
         free.close()
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stranger:
+            # Like a server: closed connections of an earlier test may still hold the port.
+            stranger.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             stranger.bind((f"{free.prefix}.0.2", HTTP_PORT))
             stranger.listen()
             other = LoopbackNetwork(ports=(HTTP_PORT,))
