Derive what the forwarding path computed or wrote twice

Cause: read again as one change. The addresses of listed agents were built from the catalog in three places although the directory holds them, in the balancer also for updates that change no entry; the agent built its list of candidates once for each held opening that it passes on; a search sorted all agents for the first two; a half-open flow was made in two places; the beginning of a planned stop stood in both processes; the penalty for a failing upstream was added outside the score; and FlowDirectory.expire returned a list that nobody read.

Change: ServiceDirectory.agents, ForwardingProcess.begin_stop, one place each for a half-open flow and for the penalties, heapq.nlargest for the keepers, candidates built once. No behaviour changes; which agent a balancer that is cut off asks first may differ.

Measured: the tests of flows, forwarding and the flow commands pass unchanged.

--- a/libs/cli/src/laburnumbridge/cli/flow_explanation.py
+++ b/libs/cli/src/laburnumbridge/cli/flow_explanation.py
@@ -44,7 +44,7 @@
     if not about:
         return []
     processes = {line.process for line in about}
-    agents = {line.fields[name] for line in about for name in ("agent",) if name in line.fields}
+    agents = {line.fields["agent"] for line in about if "agent" in line.fields}
     first = min(line.at for line in about) - CONTEXT_S
     last = max(line.at for line in about) + CONTEXT_S
     context = [
--- a/libs/flows/src/laburnumbridge/flows/agent_ranking.py
+++ b/libs/flows/src/laburnumbridge/flows/agent_ranking.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from typing import TYPE_CHECKING
 
 from laburnumbridge.core import hash64
@@ -36,11 +37,10 @@
 
     def keepers(self, flow: FlowKey, count: int) -> list[str]:
         """Return the first ``count`` agents for ``flow``."""
-        ranked = sorted(
-            ((hash64(prefix + flow), agent) for agent, prefix in self._prefix_by_agent.items()),
-            reverse=True,
+        weighted = (
+            (hash64(prefix + flow), agent) for agent, prefix in self._prefix_by_agent.items()
         )
-        return [agent for _, agent in ranked[:count]]
+        return [agent for _, agent in heapq.nlargest(count, weighted)]
 
     def first(self, flow: FlowKey) -> str | None:
         """Return the first agent for ``flow``, or None without agents."""
--- a/libs/flows/src/laburnumbridge/flows/flow_directory.py
+++ b/libs/flows/src/laburnumbridge/flows/flow_directory.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from laburnumbridge.flows.flow_packet import SEQUENCE_MODULUS
 from laburnumbridge.flows.flow_packet import sequence_distance
 
 if TYPE_CHECKING:
@@ -142,11 +143,9 @@
     def _follow_request(self, packet: FlowPacket, record: FlowRecord, now: float) -> None:
         end = packet.sequence + packet.data_length
         seen = record.client_sequence
-        if seen is not None and sequence_distance(seen, end) > (1 << 31):
+        if seen is not None and not 0 < sequence_distance(seen, end) <= SEQUENCE_MODULUS // 2:
             return  # a copy of what was seen before
-        if seen is not None and sequence_distance(seen, end) == 0:
-            return
-        record.client_sequence = end % (1 << 32)
+        record.client_sequence = end % SEQUENCE_MODULUS
         if record.answered_since_request:
             record.answered_since_request = False
             record.requests += 1
@@ -159,12 +158,8 @@
         """Follow a packet that the upstream sent; True if this shows a flow not known before."""
         record = self._by_flow.get(packet.flow)
         if packet.is_opening_answer:
-            if record is None and len(self._by_flow) < self._limit:
-                record = FlowRecord(
-                    state=FlowState.HALF_OPEN, opened_at=now, last_seen=now, request_since=now
-                )
-                self._by_flow[packet.flow] = record
-                self._busy.add(packet.flow)
+            self.expect(packet.flow, now)
+            record = self._by_flow.get(packet.flow)
             if record is not None and record.state is FlowState.HALF_OPEN:
                 record.upstream_sequence = packet.sequence
             return False
@@ -218,9 +213,8 @@
             self._open -= 1
         self._busy.discard(flow)
 
-    def expire(self, now: float) -> list[FlowKey]:
-        """Drop what is over; return the half-open flows that the upstream never answered."""
-        unanswered = []
+    def expire(self, now: float) -> None:
+        """Drop what is over."""
         for flow in list(self._busy):
             record = self._by_flow[flow]
             if record.requests == 0 and now - record.opened_at > REQUEST_PENDING_S:
@@ -234,7 +228,4 @@
                 if silent_s > CLOSED_S:
                     self.forget(flow)
             elif silent_s > HALF_OPEN_S:
-                if record.upstream_sequence is None:
-                    unanswered.append(flow)
                 self.forget(flow)
-        return unanswered
--- a/libs/flows/src/laburnumbridge/flows/upstream_choice.py
+++ b/libs/flows/src/laburnumbridge/flows/upstream_choice.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import Any
 
 from laburnumbridge.core import Choice
 
@@ -100,17 +101,15 @@
 
     def keep_only(self, agents: Collection[str]) -> None:
         """Drop what is known of all other agents."""
-        known = {
-            *self._load_by_agent,
-            *self._placed_by_agent,
-            *self._avoid_until_by_agent,
-            *self._unanswered_since_by_agent,
-        }
-        for agent in known.difference(agents):
-            self._unanswered_since_by_agent.pop(agent, None)
-            self._load_by_agent.pop(agent, None)
-            self._placed_by_agent.pop(agent, None)
-            self._avoid_until_by_agent.pop(agent, None)
+        tables: tuple[dict[str, Any], ...] = (
+            self._load_by_agent,
+            self._placed_by_agent,
+            self._avoid_until_by_agent,
+            self._unanswered_since_by_agent,
+        )
+        for table in tables:
+            for agent in table.keys() - agents:
+                del table[agent]
 
     def avoid(self, agent: str, until: float) -> None:
         """Place nothing on ``agent`` before ``until`` while another one can take it."""
@@ -132,9 +131,10 @@
         for candidate in candidates:
             if candidate.agent in excluded:
                 continue
-            score = self._score(candidate, usual_share, is_long=is_long, now=now)
-            if candidate.agent in failing:
-                score = (score[0] + FAILING_PENALTY, *score[1:])
+            is_failing = candidate.agent in failing
+            score = self._score(
+                candidate, usual_share, is_long=is_long, is_failing=is_failing, now=now
+            )
             if best is None or score < best:
                 best = score
                 chosen = candidate.agent
@@ -182,7 +182,13 @@
         return known
 
     def _score(
-        self, candidate: Candidate, usual_share: float, *, is_long: bool, now: float
+        self,
+        candidate: Candidate,
+        usual_share: float,
+        *,
+        is_long: bool,
+        is_failing: bool,
+        now: float,
     ) -> tuple[float, float, float]:
         agent = candidate.agent
         capacity = max(candidate.slots * candidate.slow_start, 0.25)
@@ -202,7 +208,7 @@
         busy_share = (busy + pending) / capacity
         flow_share = (open_flows + pending) / capacity
         shares = (flow_share, busy_share) if is_long else (busy_share, flow_share)
-        penalty = 0.0 if available else UNAVAILABLE_PENALTY
+        penalty = (not available) * UNAVAILABLE_PENALTY + is_failing * FAILING_PENALTY
         return (penalty + shares[0], shares[1], self._choice.fraction())
 
     def _pending(self, agent: str, now: float) -> int:
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -122,7 +122,6 @@
             metrics=self.metrics,
             on_down=self._on_upstream_down,
         )
-        self._stopping_at = 0.0
 
     def start(self) -> None:
         """Open all sockets. Raises OSError."""
@@ -140,11 +139,8 @@
 
     def stop(self) -> None:
         """Take no new flow and end soon; the flows of an upstream that has ended are reset."""
-        if self.is_stopping:
+        if not self.begin_stop(flows=self._flows.open_flows, busy=self._flows.busy):
             return
-        self.is_stopping = True
-        self._stopping_at = self.loop.now()
-        self.log.write(Event.PROCESS_STOPPING, flows=self._flows.open_flows, busy=self._flows.busy)
         self._send_load()
         self._upstream.probe()
 
@@ -157,8 +153,7 @@
         entry = self.directory.entry(self.settings.address)
         self._flows.slots = 0 if entry is None else entry.slots
         if update.entries or update.removals:
-            listed = {entry.address for entry in self.view.catalog.entry_by_name.values()}
-            self._choice.keep_only(listed)
+            self._choice.keep_only(self.directory.agents)
 
     @property
     def _can_take(self) -> bool:
@@ -261,7 +256,7 @@
 
     def _release_held(self, now: float) -> None:
         """Hand waiting packets to the upstream while it has room, the newest first."""
-        while self._waiting and self._can_take and self._flows.busy < self._admission_limit:
+        while self._can_take and self._flows.busy < self._admission_limit:
             waiting = self._waiting.pop_newest()
             if waiting is None:
                 return
@@ -273,9 +268,11 @@
         """Pass waiting packets to agents that have become free, and refuse what waited too long."""
         for waiting in self._waiting.expire(now):
             self._reset(waiting.flow, 0, "queue_timeout")
+        if not self._waiting:
+            return
+        own = self.settings.address
+        others = self.directory.candidates(self._own_tag, now)
         while self._waiting:
-            others = self.directory.candidates(self._own_tag, now)
-            own = self.settings.address
             if self._can_take:
                 agent = self._choice.choose_idle(others, now=now, excluded=(own,))
             else:
@@ -441,7 +438,7 @@
             packet = self.packet_codec.decode_from_client(envelope.raw)
             self._hand_over(packet, envelope, "unanswered", now)
         if self.is_stopping and not self._upstream.is_probing:
-            stopping_s = now - self._stopping_at
+            stopping_s = now - self.stopping_since
             if self._flows.busy == 0 or stopping_s > STOP_WAIT_S or self._upstream.is_down:
                 self.finish()
 
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -74,7 +74,6 @@
         )
         self._had_view = False
         self._last_packet_at = self.loop.now()
-        self._stopping_at = 0.0
         self._is_cut_off = False
         self._probe_choice = Choice(seed=hash64(self.settings.process.encode()))
 
@@ -91,16 +90,12 @@
 
     def stop(self) -> None:
         """Leave the rotation, and end when the fabric sends nothing more."""
-        if self.is_stopping:
-            return
-        self.is_stopping = True
-        self._stopping_at = self.loop.now()
-        self.log.write(Event.PROCESS_STOPPING, flows=len(self._agent_by_flow))
+        self.begin_stop(flows=len(self._agent_by_flow))
 
     def on_view_change(self, update: CatalogUpdate) -> None:
         """Forget the load of agents that left."""
-        listed = {entry.address for entry in self.view.catalog.entry_by_name.values()}
-        self._choice.keep_only(listed)
+        if update.entries or update.removals:
+            self._choice.keep_only(self.directory.agents)
         if not self._had_view and self.view.catalog.is_ready:
             self._had_view = True
             self.metrics.count("packets_early_total", amount=len(self._early))
@@ -253,8 +248,7 @@
             self._is_cut_off = is_cut_off
             self.log.write(Event.AGENTS_UNREACHABLE, outcome="lost" if is_cut_off else "regained")
         if is_cut_off:
-            agents = [entry.address for entry in self.view.catalog.entry_by_name.values()]
-            for agent in self._probe_choice.sample(agents, PROBED_AGENTS):
+            for agent in self._probe_choice.sample(list(self.directory.agents), PROBED_AGENTS):
                 self.peers.send(bytes((DatagramKind.PROBE,)), (agent, self.settings.peer_port))
 
     def _upkeep(self) -> None:
@@ -268,7 +262,7 @@
             self._finish_when_quiet(now)
 
     def _finish_when_quiet(self, now: float) -> None:
-        stopping_s = now - self._stopping_at
+        stopping_s = now - self.stopping_since
         is_quiet = now - self._last_packet_at > QUIET_S
         if stopping_s > self.settings.stop_grace_s - STOP_MARGIN_S or (
             stopping_s > MIN_STOP_S and is_quiet
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -6,6 +6,7 @@
 from abc import ABC
 from abc import abstractmethod
 from typing import TYPE_CHECKING
+from typing import Any
 
 from laburnumbridge.core import Event
 from laburnumbridge.core import unpack_ipv4
@@ -72,6 +73,7 @@
         self.metrics = Metrics()
         network.on_fault = self._on_network_fault
         self.is_stopping = False
+        self.stopping_since = 0.0
         self._packet_port = settings.packet_port
         self.view = ViewSharing(
             loop=loop,
@@ -133,6 +135,15 @@
     def stop(self) -> None:
         """Begin a planned stop."""
 
+    def begin_stop(self, **fields: Any) -> bool:
+        """Note and log that a planned stop begins; False if it has begun before."""
+        if self.is_stopping:
+            return False
+        self.is_stopping = True
+        self.stopping_since = self.loop.now()
+        self.log.write(Event.PROCESS_STOPPING, **fields)
+        return True
+
     @abstractmethod
     def on_peer_datagram(self, datagram: bytes, sender: Endpoint) -> None:
         """Handle a datagram from another process."""
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -11,6 +11,8 @@
 from laburnumbridge.flows import Candidate
 
 if TYPE_CHECKING:
+    from collections.abc import KeysView
+
     from laburnumbridge.catalog import Catalog
     from laburnumbridge.catalog import CatalogUpdate
     from laburnumbridge.catalog import Route
@@ -93,6 +95,11 @@
         """Return the upstream that is listed beside ``agent``."""
         return self._entry_by_agent.get(agent)
 
+    @property
+    def agents(self) -> KeysView[str]:
+        """Addresses of all agents that are listed."""
+        return self._entry_by_agent.keys()
+
     def ranking(self, tag: int) -> AgentRanking:
         """Return the ranking of a service's agents, draining ones included."""
         return self._ranking_by_tag.get(tag, _NO_AGENTS)
