Share entries, settings and set-up between tests, benchmark and fleets of the stand-ins

Cause: the same entry of an upstream stood in four files, the settings of a forwarding process in three, a flow that has carried one request in nine tests, and the loss of a VM in two. In the soak a draining upstream was listed with the start of the one that had started last.

Change: make_entry, make_configuration and process_settings serve all of them; SimulatedFleet has served_flow, lose_vm and unlist_upstream. No assertion changes. The loopback test uses the fixed ports of the upstream's end, on an address of its own.

--- a/libs/catalog/tests/test_catalog.py
+++ b/libs/catalog/tests/test_catalog.py
@@ -9,21 +9,10 @@
 from laburnumbridge.catalog import Route
 from laburnumbridge.catalog import RoutingConfiguration
 from laburnumbridge.catalog import ServiceShare
-from laburnumbridge.catalog import UpstreamEntry
 from laburnumbridge.catalog import UpstreamRemoval
+from laburnumbridge.standins.flows.published import make_entry
 
-ENTRY = UpstreamEntry(
-    name="up-1",
-    service="desk",
-    address="10.0.0.1",
-    port=80,
-    failure_domain="north",
-    slots=4,
-    is_draining=False,
-    warm_up_left_ms=0,
-    started_ms=1,
-    revision=5,
-)
+ENTRY = replace(make_entry("10.0.0.1", slots=4), name="up-1", revision=5)
 
 
 def update(**fields) -> CatalogUpdate:
--- a/libs/catalog/tests/test_update_codec.py
+++ b/libs/catalog/tests/test_update_codec.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import settings
@@ -11,28 +13,15 @@
 from laburnumbridge.catalog import RoutingConfiguration
 from laburnumbridge.catalog import ServiceShare
 from laburnumbridge.catalog import UpdateStream
-from laburnumbridge.catalog import UpstreamEntry
 from laburnumbridge.catalog import UpstreamRemoval
 from laburnumbridge.catalog import encode_update
+from laburnumbridge.standins.flows.published import make_entry
 
 UPDATE = CatalogUpdate(
     revision=9,
     confirmed_age_ms=20,
     confirmed_by="0/a",
-    entries=(
-        UpstreamEntry(
-            name="up-1",
-            service="desk",
-            address="10.0.0.1",
-            port=80,
-            failure_domain="north",
-            slots=4,
-            is_draining=True,
-            warm_up_left_ms=0,
-            started_ms=1,
-            revision=5,
-        ),
-    ),
+    entries=(replace(make_entry("10.0.0.1", slots=4, is_draining=True), name="up-1", revision=5),),
     removals=(UpstreamRemoval(name="up-2", revision=6),),
     configuration=RoutingConfiguration(
         version=3,
--- a/libs/cli/tests/test_flow_commands.py
+++ b/libs/cli/tests/test_flow_commands.py
@@ -91,9 +91,7 @@
 
     def test_a_flow_whose_upstream_was_lost(self, fleet):
         # Guards against a lost upstream that can't be told from a lost balancer.
-        flow = fleet.client.open_flow(SERVICE)
-        flow.request(b"first")
-        fleet.world.run_for(0.5)
+        flow = fleet.served_flow(settle_s=0.5)
         holder = fleet.holder(flow.key)
         fleet.upstream_by_address[holder].crash()
         fleet.terminate(holder)
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -128,9 +128,7 @@
 
     def test_a_balancer_learns_where_a_flow_is(self, fleet):
         # Guards against a search for every packet of a flow after a change of the fabric's hash.
-        flow = fleet.client.open_flow(SERVICE)
-        flow.request(b"first")
-        fleet.world.run_for(1.0)
+        flow = fleet.served_flow(settle_s=1.0)
         fleet.rotation = [one for one in fleet.balancers if one != fleet.rotation[0]][::-1]
         for number in range(10):
             flow.request(b"next %d" % number)
@@ -168,9 +166,7 @@
 class TestUpstreamLost:
     def test_clients_of_a_crashed_upstream_are_told_at_once(self, fleet):
         # Guards against clients that wait for their deadline on a flow that nobody holds.
-        flow = fleet.client.open_flow(SERVICE)
-        flow.request(b"first")
-        fleet.world.run_for(0.5)
+        flow = fleet.served_flow(settle_s=0.5)
         fleet.upstream_by_address[fleet.holder(flow.key)].crash()
         others = [fleet.client.open_flow(SERVICE) for _ in range(20)]
         for other in others:
@@ -183,9 +179,7 @@
 
     def test_flows_of_a_restarted_upstream_are_reset(self, fleet):
         # Guards against a search for a flow that its upstream has forgotten.
-        flow = fleet.client.open_flow(SERVICE)
-        flow.request(b"first")
-        fleet.world.run_for(0.5)
+        flow = fleet.served_flow(settle_s=0.5)
         holder = fleet.holder(flow.key)
         fleet.upstream_by_address[holder].crash()
         fleet.start_upstream(holder)
@@ -230,7 +224,7 @@
         # Guards against clients that wait for what is known to be impossible.
         for address in fleet.agents:
             fleet.upstream_by_address[address].crash()
-            fleet.platform.remove(f"up-{address}")
+            fleet.unlist_upstream(address)
         fleet.world.run_for(0.5)
         flow = fleet.client.open_flow(SERVICE)
         fleet.world.run_for(0.05)
@@ -355,13 +349,9 @@
     def test_a_search_that_ends_too_early_is_repeated(self, fleet):
         # Guards against clients that wait for their next retransmission, up to 1.6 s, because the
         # agents had just changed when their packet came: 217 packets of one played day.
-        flow = fleet.client.open_flow(SERVICE)
-        flow.request(b"first")
-        fleet.world.run_for(1.0)
+        flow = fleet.served_flow(settle_s=1.0)
         holder = fleet.holder(flow.key)
-        fleet.kill(holder)
-        fleet.upstream_by_address[holder].crash()
-        fleet.platform.remove(f"up-{holder}")
+        fleet.lose_vm(holder)
         fleet.rotation = [fleet.start_balancer("10.1.0.9")]
         fleet.world.run_for(1.0)
         fleet.agents.append("10.2.0.9")
@@ -378,9 +368,7 @@
     def test_a_search_is_not_repeated_because_agents_left(self, fleet):
         # Guards against clients of lost upstreams that wait while the entries of others lapse one
         # by one: 1,200 resets of one played day came a second late.
-        flow = fleet.client.open_flow(SERVICE)
-        flow.request(b"first")
-        fleet.world.run_for(1.0)
+        flow = fleet.served_flow(settle_s=1.0)
         holder = fleet.holder(flow.key)
         other = next(agent for agent in fleet.agents if agent != holder)
         fleet.rotation = [fleet.start_balancer("10.1.0.9")]
@@ -390,7 +378,7 @@
         fleet.start_process(holder)
         fleet.world.run_for(0.8)
         fleet.upstream_by_address[other].crash()
-        fleet.platform.remove(f"up-{other}")
+        fleet.unlist_upstream(other)
         fleet.world.run_for(0.05)
         flow.request(b"second")
         fleet.world.run_for(0.1)
@@ -399,13 +387,9 @@
     def test_the_flows_of_an_agent_that_left_are_searched_and_reset(self, fleet):
         # Guards against a balancer that sends packets to a VM that is gone until the client
         # gives up.
-        flow = fleet.client.open_flow(SERVICE)
-        flow.request(b"first")
-        fleet.world.run_for(1.0)
+        flow = fleet.served_flow(settle_s=1.0)
         holder = fleet.holder(flow.key)
-        fleet.kill(holder)
-        fleet.upstream_by_address[holder].crash()
-        fleet.platform.remove(f"up-{holder}")
+        fleet.lose_vm(holder)
         fleet.world.run_for(0.5)
         flow.request(b"second")
         fleet.world.run_for(0.5)
@@ -415,9 +399,7 @@
 class TestConfiguration:
     def test_a_flow_of_a_removed_route_is_reset(self, fleet):
         # Guards against flows that go on after their route was removed.
-        flow = fleet.client.open_flow(SERVICE)
-        flow.request(b"first")
-        fleet.world.run_for(0.5)
+        flow = fleet.served_flow(settle_s=0.5)
         fleet.configure(version=2, endpoints=(UNUSED,))
         fleet.world.run_for(0.1)
         flow.request(b"second")
@@ -648,7 +630,7 @@
     def test_lost_history_loses_no_change(self, fleet):
         # Guards against changes that fall between a lost history and the next listing.
         fleet.platform.compact()
-        fleet.platform.remove(f"up-{fleet.agents[0]}")
+        fleet.unlist_upstream(fleet.agents[0])
         fleet.world.run_for(0.5)
         for address in (*fleet.balancers, *fleet.agents[1:]):
             catalog = fleet.process_by_address[address].view.catalog
@@ -730,9 +712,7 @@
 
     def test_the_flows_of_an_upstream_that_has_ended_are_reset_at_the_stop(self, fleet):
         # Guards against clients that wait for their deadline after a planned replacement.
-        flow = fleet.client.open_flow(SERVICE)
-        flow.request(b"first")
-        fleet.world.run_for(0.5)
+        flow = fleet.served_flow(settle_s=0.5)
         holder = fleet.holder(flow.key)
         fleet.upstream_by_address[holder].crash()
         fleet.terminate(holder)
--- a/libs/forwarding/tests/test_loopback.py
+++ b/libs/forwarding/tests/test_loopback.py
@@ -13,11 +13,13 @@
 from laburnumbridge.forwarding.flow_balancer import FlowBalancer
 from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
 from laburnumbridge.forwarding.socket_network import SocketNetwork
-from laburnumbridge.standins.benchmarks.flow_balancer_target import SERVICE_ADDRESS
-from laburnumbridge.standins.benchmarks.flow_balancer_target import SERVICE_PORT
 from laburnumbridge.standins.benchmarks.flow_balancer_target import make_view
 from laburnumbridge.standins.flows.client_stand_in import ClientStandIn
 from laburnumbridge.standins.flows.platform_stand_in import StandInPlatformCodec
+from laburnumbridge.standins.flows.process_settings import OUTPUT_PORT
+from laburnumbridge.standins.flows.process_settings import SERVICE
+from laburnumbridge.standins.flows.process_settings import UPSTREAM_PORT
+from laburnumbridge.standins.flows.process_settings import process_settings
 from laburnumbridge.standins.flows.stand_in_packets import StandInPacketCodec
 from laburnumbridge.standins.flows.upstream_stand_in import UpstreamStandIn
 
@@ -47,20 +49,16 @@
     processes = []
     packet_port, peer_port = unused_tcp_port_factory(), unused_tcp_port_factory()
 
-    def start(process_type, address, **more):
+    def start(process_type, address):
         settings = {
-            "process": address,
-            "failure_domain": "north",
-            "address": address,
+            **process_settings(
+                address, platform=(address, 1), seeds=[], is_agent=process_type is FlowAgent
+            ),
             "packet_endpoint": f"{address}:{packet_port}",
             "peer_port": peer_port,
             "ready_endpoint": f"{address}:{unused_tcp_port_factory()}",
             "metrics_port": unused_tcp_port_factory(),
-            "platform_endpoint": f"{address}:1",
-            "seeds": [],
-            "flow_max_age_s": 60,
-            "stop_grace_s": 6,
-            **more,
+            "control_endpoint": None,
         }
         path = tmp_path / f"{address}.json"
         path.write_bytes(msgspec.json.encode(settings))
@@ -90,28 +88,19 @@
         balancer_address, agent_address, client_address = (
             f"{host}.0.{number}" for number in (1, 2, 3)
         )
-        endpoint, output = (agent_address, 4_711), (agent_address, 4_712)
         network = SocketNetwork(loop=loop)
         upstream = UpstreamStandIn(
             loop=loop,
             network=network,
-            endpoint=endpoint,
-            output=output,
+            endpoint=(agent_address, UPSTREAM_PORT),
+            output=(agent_address, OUTPUT_PORT),
             slots=1,
             work_s=0.01,
             seed=1,
         )
         upstream.start()
         balancer = start(FlowBalancer, balancer_address)
-        agent = start(
-            FlowAgent,
-            agent_address,
-            upstream={
-                "service": "desk",
-                "endpoint": f"{agent_address}:{endpoint[1]}",
-                "output_endpoint": f"{agent_address}:{output[1]}",
-            },
-        )
+        agent = start(FlowAgent, agent_address)
         for process in (balancer, agent):
             process.view.take(make_view(agent_address))
         client = ClientStandIn(
@@ -121,7 +110,7 @@
             fabric=lambda _flow: (balancer_address, start.packet_port),
         )
         client.start()
-        flow = client.open_flow((SERVICE_ADDRESS, SERVICE_PORT))
+        flow = client.open_flow(SERVICE)
         flow.request(b"request")
         loop.call_every(0.01, lambda: loop.stop() if flow.answers else None)
         loop.run()
--- a/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
@@ -22,6 +22,7 @@
 from laburnumbridge.standins.flows.process_settings import SERVICE
 from laburnumbridge.standins.flows.process_settings import UPSTREAM_PORT
 from laburnumbridge.standins.flows.process_settings import process_settings
+from laburnumbridge.standins.flows.published import entry_name
 from laburnumbridge.standins.flows.published import make_configuration
 from laburnumbridge.standins.flows.published import make_entry
 from laburnumbridge.standins.flows.readiness_checks import ReadinessChecks
@@ -145,10 +146,15 @@
 
     def list_upstream(self, address: str, *, is_draining: bool = False) -> None:
         """Write the entry of the upstream at ``address``."""
-        started_ms = len(self.all_upstreams)
+        # The number of the start stands for its time.
+        started_ms = 1 + self.all_upstreams.index(self.upstream_by_address[address])
         entry = make_entry(address, slots=SLOTS, is_draining=is_draining, started_ms=started_ms)
         self.platform.put(entry)
 
+    def unlist_upstream(self, address: str) -> None:
+        """Remove the entry of the upstream at ``address``."""
+        self.platform.remove(entry_name(address))
+
     def write_settings(self, address: str) -> None:
         """Write the settings file of a process; the order of seeds differs each time."""
         path = self._settings_path(address)
--- a/libs/standins/src/laburnumbridge/standins/flows/published.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/published.py
@@ -36,12 +36,17 @@
     )
 
 
+def entry_name(address: str) -> str:
+    """Return the name of the entry of the upstream at ``address``."""
+    return f"up-{address}"
+
+
 def make_entry(
     address: str, *, slots: int, is_draining: bool = False, started_ms: int = 1
 ) -> UpstreamEntry:
     """Return the entry of the upstream at ``address``."""
     return UpstreamEntry(
-        name=f"up-{address}",
+        name=entry_name(address),
         service=SERVICE_NAME,
         address=address,
         port=UPSTREAM_PORT,
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -23,6 +23,7 @@
 from laburnumbridge.standins.flows.process_settings import SERVICE
 from laburnumbridge.standins.flows.process_settings import UPSTREAM_PORT
 from laburnumbridge.standins.flows.process_settings import process_settings
+from laburnumbridge.standins.flows.published import entry_name
 from laburnumbridge.standins.flows.published import make_configuration
 from laburnumbridge.standins.flows.published import make_entry
 from laburnumbridge.standins.flows.simulated_world import SimulatedLoop
@@ -38,6 +39,7 @@
     from laburnumbridge.flows import FlowKey
     from laburnumbridge.forwarding.endpoints import Endpoint
     from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
+    from laburnumbridge.standins.flows.client_stand_in import ClientFlow
 
 PLATFORM: Endpoint = ("10.200.0.1", 8169)
 CLIENT: Endpoint = ("100.64.0.1", PACKET_PORT)
@@ -148,6 +150,23 @@
         self.process_by_address[address] = process
         self.log_by_address[address] = log
 
+    def unlist_upstream(self, address: str) -> None:
+        """Remove the entry of the upstream at ``address``."""
+        self.platform.remove(entry_name(address))
+
+    def lose_vm(self, address: str) -> None:
+        """End the agent and the upstream at ``address`` for good, and its entry with them."""
+        self.kill(address)
+        self.upstream_by_address[address].crash()
+        self.unlist_upstream(address)
+
+    def served_flow(self, *, settle_s: float) -> ClientFlow:
+        """Open a flow, let it carry the request ``first``, and wait for ``settle_s``."""
+        flow = self.client.open_flow(SERVICE)
+        flow.request(b"first")
+        self.world.run_for(settle_s)
+        return flow
+
     def start_balancer(self, address: str) -> str:
         """Add a balancer to the fleet, outside the rotation, and return its address."""
         self.balancers.append(address)
