Split the injection of faults from the soak that plays them

Cause: fault_soak.py held start, traffic, faults and checks in one class of 300 lines.

Change: FaultInjector does what a fault's kind says; FaultSoak plays the schedule, sends requests and checks. No behaviour changes.

--- /dev/null
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_injector.py
@@ -0,0 +1,135 @@
+"""Injects the faults of a schedule into a fleet of processes."""
+
+from __future__ import annotations
+
+import signal
+from functools import partial
+from typing import TYPE_CHECKING
+
+from laburnumbridge.standins.flows.fault_proxy import ProxyFault
+from laburnumbridge.standins.flows.fault_schedule import FaultKind
+
+if TYPE_CHECKING:
+    from laburnumbridge.forwarding.network import Loop
+    from laburnumbridge.standins.flows.fault_schedule import Fault
+    from laburnumbridge.standins.flows.process_fleet import ProcessFleet
+    from laburnumbridge.standins.flows.promise_checks import SoakFindings
+
+LISTED_S = 1.5
+"""How long the entry of an upstream that has crashed stays listed."""
+DRAIN_S = 1.0
+POLL_S = 0.1
+
+_PROXY_FAULT = {
+    FaultKind.PROXY_DELAY: ProxyFault.DELAY,
+    FaultKind.PROXY_RESET: ProxyFault.RESET,
+    FaultKind.PROXY_SILENCE: ProxyFault.SILENCE,
+    FaultKind.PROXY_CUT_REPLIES: ProxyFault.CUT_REPLIES,
+}
+
+
+class FaultInjector:
+    """Kills, ends and pauses processes, and disturbs what they depend on.
+
+    Counts each fault in ``findings``, and notes there a process that doesn't end well within
+    ``stop_patience_s`` of SIGTERM.
+    """
+
+    def __init__(
+        self, *, loop: Loop, fleet: ProcessFleet, findings: SoakFindings, stop_patience_s: float
+    ) -> None:
+        self._loop = loop
+        self._fleet = fleet
+        self._findings = findings
+        self._stop_patience_s = stop_patience_s
+        self._absent: set[str] = set()
+
+    def inject(self, fault: Fault) -> None:
+        """Begin ``fault``; it ends by itself."""
+        self._findings.counts[f"fault_{fault.kind.value}"] += 1
+        name = fault.kind.value
+        is_balancer = name.endswith("balancer")
+        addresses = self._fleet.balancers if is_balancer else self._fleet.agents
+        address = addresses[int(fault.target * len(addresses))]
+        if name.startswith("kill"):
+            self._end(address, signal.SIGKILL, fault.for_s)
+        elif name.startswith("terminate"):
+            self._end(address, signal.SIGTERM, fault.for_s)
+        elif name.startswith("pause"):
+            self._pause(address, fault.for_s)
+        elif fault.kind is FaultKind.CRASH_UPSTREAM:
+            self._crash(address, fault.for_s)
+        elif fault.kind is FaultKind.DRAIN_UPSTREAM:
+            self._drain(address, fault.for_s)
+        elif fault.kind is FaultKind.PLATFORM_SILENT:
+            self._fleet.platform.is_silent = True
+            self._loop.call_later(fault.for_s, self._platform_returns)
+        elif fault.kind is FaultKind.PLATFORM_FORGETS:
+            self._fleet.platform.compact()
+        elif fault.kind is FaultKind.CONFIGURE:
+            self._fleet.configure()
+        elif fault.kind is FaultKind.RELOAD:
+            self._fleet.write_settings(address)
+            self._fleet.signal(address, signal.SIGHUP)
+        else:
+            self._disturb(fault)
+
+    def _end(self, address: str, number: signal.Signals, absent_s: float) -> None:
+        if address in self._absent:
+            return
+        self._absent.add(address)
+        self._fleet.signal(address, signal.SIGCONT)
+        self._fleet.signal(address, number)
+        began = self._loop.now()
+        self._loop.call_later(POLL_S, partial(self._await_end, address, number, began, absent_s))
+
+    def _await_end(
+        self, address: str, number: signal.Signals, began: float, absent_s: float
+    ) -> None:
+        code = self._fleet.exit_code(address)
+        took_s = self._loop.now() - began
+        if code is None and took_s < self._stop_patience_s:
+            again = partial(self._await_end, address, number, began, absent_s)
+            self._loop.call_later(POLL_S, again)
+            return
+        # A signal that comes before the process handles it ends it at once; nothing is open then.
+        if number is signal.SIGTERM and code != 0 and self._fleet.has_started(address):
+            self._findings.broken.append(f"{address} ended with {code} after SIGTERM")
+            self._fleet.signal(address, signal.SIGKILL)
+        self._loop.call_later(absent_s, partial(self._return, address))
+
+    def _return(self, address: str) -> None:
+        self._fleet.start_process(address)
+        self._absent.discard(address)
+
+    def _pause(self, address: str, for_s: float) -> None:
+        if address not in self._absent:
+            self._fleet.signal(address, signal.SIGSTOP)
+            self._loop.call_later(for_s, partial(self._fleet.signal, address, signal.SIGCONT))
+
+    def _crash(self, address: str, for_s: float) -> None:
+        if not self._fleet.upstream_by_address[address].is_running:
+            return
+        self._fleet.upstream_by_address[address].crash()
+        self._loop.call_later(LISTED_S, partial(self._fleet.unlist_upstream, address))
+        self._loop.call_later(
+            max(for_s, 2 * LISTED_S), partial(self._fleet.start_upstream, address)
+        )
+
+    def _drain(self, address: str, for_s: float) -> None:
+        upstream = self._fleet.upstream_by_address[address]
+        if upstream.is_running and upstream.accepts:
+            upstream.accepts = False
+            self._fleet.list_upstream(address, is_draining=True)
+            self._loop.call_later(DRAIN_S, partial(self._crash, address, for_s))
+
+    def _platform_returns(self) -> None:
+        self._fleet.platform.is_silent = False
+
+    def _disturb(self, fault: Fault) -> None:
+        proxies = [
+            proxy for proxies in self._fleet.proxies_by_address.values() for proxy in proxies
+        ]
+        proxy = proxies[int(fault.target * len(proxies))]
+        proxy.inject(_PROXY_FAULT[fault.kind])
+        self._loop.call_later(fault.for_s, partial(proxy.inject, ProxyFault.NONE))
