Log the era of the platform and its restores

Cause: no log line told that the store had come back from a copy, and platform_available had the store's revision but not the view's, so that an order by revisions alone could not be told from a watch that goes on across a restore.

The stand-in of the platform has eras and can be restored from a copy. No decision depends on the era yet.

--- a/libs/catalog/src/laburnumbridge/catalog/platform_codec.py
+++ b/libs/catalog/src/laburnumbridge/catalog/platform_codec.py
@@ -11,6 +11,8 @@
 from laburnumbridge.core import UnavailableError
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from laburnumbridge.catalog.errors import MalformedItemError
     from laburnumbridge.catalog.records import RoutingConfiguration
     from laburnumbridge.catalog.records import UpstreamEntry
@@ -28,11 +30,14 @@
 class PlatformItems:
     """Decoded items of an answer.
 
-    ``next_after`` is the key after which the next page of a listing starts, or None on the last
-    page. ``malformed`` has an error for each item that can't be used; the other items are valid.
+    ``era`` rises each time the platform is restored from a copy and gives revisions out again; 0 if
+    the platform doesn't say. ``next_after`` is the key after which the next page of a listing
+    starts, or None on the last page. ``malformed`` has an error for each item that can't be used;
+    the other items are valid.
     """
 
     revision: int
+    era: int = 0
     entries: tuple[UpstreamEntry, ...] = ()
     removals: tuple[UpstreamRemoval, ...] = ()
     configuration: RoutingConfiguration | None = None
@@ -61,7 +66,10 @@
 
 
 class PlatformCodec(ABC):
-    """Builds the targets of calls and decodes their answers."""
+    """Builds the targets of calls and decodes their answers.
+
+    ``headers`` are those of the answer, by name in lower case.
+    """
 
     @abstractmethod
     def listing_target(self, listing: Listing, after: str | None) -> str:
@@ -72,11 +80,11 @@
         """Return the request target of a watch for changes; it waits ``wait_ms`` for one."""
 
     @abstractmethod
-    def decode_listing(self, status: int, body: bytes) -> PlatformItems:
+    def decode_listing(self, status: int, headers: Mapping[str, str], body: bytes) -> PlatformItems:
         """Decode a page of a listing. Raises PlatformRefusedError or MalformedAnswerError."""
 
     @abstractmethod
-    def decode_watch(self, status: int, body: bytes) -> PlatformItems:
+    def decode_watch(self, status: int, headers: Mapping[str, str], body: bytes) -> PlatformItems:
         """Decode the answer of a watch.
 
         Raises PlatformRefusedError, RevisionCompactedError or MalformedAnswerError.
--- a/libs/core/src/laburnumbridge/core/event.py
+++ b/libs/core/src/laburnumbridge/core/event.py
@@ -28,6 +28,11 @@
     LIST_CONFLICT = (206, "error", "A version was received with other contents; ours are kept.")
     PLATFORM_AVAILABLE = (205, "info", "The platform can be read again.")
     ITEM_IGNORED = (207, "warning", "An item of the platform can't be used; the others apply.")
+    PLATFORM_RESTORED = (
+        210,
+        "warning",
+        "The platform was restored from a copy and gives revisions out again.",
+    )
     READING_STARTED = (208, "info", "The process reads the platform itself.")
     READING_STOPPED = (209, "info", "The process stops reading the platform; its peers read it.")
     MEMBER_CHANGED = (301, "info", "The state of a process has changed in this view.")
--- a/libs/forwarding/src/laburnumbridge/forwarding/http_client.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/http_client.py
@@ -30,8 +30,9 @@
 class HttpClient:
     """Makes one GET call at a time; the connection is kept between calls.
 
-    A call ends with exactly one of ``on_answer(status, body)`` and ``on_failure(error)``. After a
-    failure the connection is closed, since the missing response may still arrive on it.
+    A call ends with exactly one of ``on_answer(status, headers, body)``, with the names of headers
+    in lower case, and ``on_failure(error)``. After a failure the connection is closed, since the
+    missing response may still arrive on it.
     """
 
     def __init__(self, *, loop: Loop, network: Network, endpoint: Endpoint) -> None:
@@ -41,9 +42,10 @@
         self._stream: ByteStream | None = None
         self._protocol = h11.Connection(h11.CLIENT)
         self._timer: Timer | None = None
-        self._on_answer: Callable[[int, bytes], None] | None = None
+        self._on_answer: Callable[[int, dict[str, str], bytes], None] | None = None
         self._on_failure: Callable[[HttpCallFailedError], None] | None = None
         self._status = 0
+        self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
 
     @property
@@ -56,7 +58,7 @@
         target: str,
         *,
         timeout_s: float,
-        on_answer: Callable[[int, bytes], None],
+        on_answer: Callable[[int, dict[str, str], bytes], None],
         on_failure: Callable[[HttpCallFailedError], None],
     ) -> None:
         """Start a GET call; it fails after ``timeout_s`` seconds without a response."""
@@ -113,6 +115,10 @@
                     return
                 if isinstance(event, h11.Response):
                     self._status = event.status_code
+                    self._headers = {
+                        name.decode("ascii"): value.decode("latin-1")
+                        for name, value in event.headers
+                    }
                 elif isinstance(event, h11.Data):
                     self._body.append(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage):
@@ -135,4 +141,4 @@
             self._disconnect()
         on_answer, self._on_answer, self._on_failure = self._on_answer, None, None
         if on_answer is not None:
-            on_answer(self._status, b"".join(self._body))
+            on_answer(self._status, self._headers, b"".join(self._body))
--- a/libs/forwarding/src/laburnumbridge/forwarding/store_reader.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/store_reader.py
@@ -16,6 +16,7 @@
     from laburnumbridge.catalog import Catalog
     from laburnumbridge.catalog import CatalogUpdate
     from laburnumbridge.catalog import PlatformCodec
+    from laburnumbridge.catalog import PlatformItems
     from laburnumbridge.forwarding.decision_log import DecisionLog
     from laburnumbridge.forwarding.endpoints import Endpoint
     from laburnumbridge.forwarding.metrics import Metrics
@@ -40,6 +41,7 @@
         on_update: Callable[[CatalogUpdate], None],
     ) -> None:
         self._loop = loop
+        self._catalog = catalog
         self._codec = codec
         self._plan = ReadPlan(catalog=catalog, reader=reader)
         self._client = HttpClient(loop=loop, network=network, endpoint=endpoint)
@@ -48,6 +50,7 @@
         self._on_update = on_update
         self._is_running = False
         self._is_call_scheduled = False
+        self._era: int | None = None
 
     @property
     def is_running(self) -> bool:
@@ -86,27 +89,41 @@
         self._client.get(
             target,
             timeout_s=call.timeout_s,
-            on_answer=lambda status, body: self._on_answer(is_watch, status, body),
+            on_answer=lambda status, headers, body: self._on_answer(
+                is_watch, status, headers, body
+            ),
             on_failure=self._on_failure,
         )
 
-    def _on_answer(self, is_watch: bool, status: int, body: bytes) -> None:
+    def _on_answer(self, is_watch: bool, status: int, headers: dict[str, str], body: bytes) -> None:
         decode = self._codec.decode_watch if is_watch else self._codec.decode_listing
         try:
-            items = decode(status, body)
+            items = decode(status, headers, body)
         except LaburnumbridgeError as error:
             self._on_failure(error)
             return
         for malformed in items.malformed:
             self._metrics.count("platform_items_ignored_total")
             self._log.write(Event.ITEM_IGNORED, key=malformed.key, reason=malformed.reason)
-        if self._plan.is_failing:
-            self._log.write(Event.PLATFORM_AVAILABLE, revision=items.revision)
+        self._log_platform_state(items)
         self._on_update(self._plan.on_items(items, self._loop.now()))
         # Scheduled on the loop, so that calls that are answered at once don't nest.
         self._is_call_scheduled = True
         self._loop.call_later(0.0, self._call)
 
+    def _log_platform_state(self, items: PlatformItems) -> None:
+        if self._plan.is_failing:
+            self._log.write(Event.PLATFORM_AVAILABLE, era=items.era, revision=items.revision)
+        if self._era not in (None, items.era):
+            self._log.write(
+                Event.PLATFORM_RESTORED,
+                era=items.era,
+                revision=items.revision,
+                previous_era=self._era,
+                view_revision=self._catalog.revision,
+            )
+        self._era = items.era
+
     def _on_failure(self, error: LaburnumbridgeError) -> None:
         was_failing = self._plan.is_failing
         pause_s = self._plan.on_failure(error)
--- a/libs/forwarding/tests/test_socket_network.py
+++ b/libs/forwarding/tests/test_socket_network.py
@@ -79,7 +79,7 @@
         def call(path):
             client.get(path, timeout_s=TEST_TIMEOUT_S, on_answer=on_answer, on_failure=fail)
 
-        def on_answer(status, body):
+        def on_answer(status, _headers, body):
             answers.append((status, body[:2], len(body)))
             loop.call_later(0.0, lambda: call("/b") if len(answers) == 1 else loop.stop())
 
@@ -100,7 +100,7 @@
         client.get(
             "/",
             timeout_s=TEST_TIMEOUT_S,
-            on_answer=lambda _status, _body: loop.stop(),
+            on_answer=lambda _status, _headers, _body: loop.stop(),
             on_failure=lambda error: (failures.append(error), loop.stop()),
         )
         loop.run()
@@ -116,7 +116,7 @@
         client.get(
             "/",
             timeout_s=0.01,
-            on_answer=lambda _status, _body: loop.stop(),
+            on_answer=lambda _status, _headers, _body: loop.stop(),
             on_failure=lambda error: (failures.append(error.reason), loop.stop()),
         )
         loop.run()
--- a/libs/standins/src/laburnumbridge/standins/flows/platform_stand_in.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/platform_stand_in.py
@@ -21,12 +21,15 @@
 from laburnumbridge.catalog import UpstreamRemoval
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from laburnumbridge.forwarding.endpoints import Endpoint
     from laburnumbridge.forwarding.network import ByteStream
     from laburnumbridge.forwarding.network import Loop
     from laburnumbridge.forwarding.network import Network
 
 ANSWER_DELAY_S = 0.004
+ERA_HEADER = "platform-era"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -39,6 +42,17 @@
     configuration: RoutingConfiguration | None
 
 
+@dataclass(frozen=True, kw_only=True)
+class PlatformCopy:
+    """The state of the stand-in at one moment."""
+
+    revision: int
+    entry_by_name: dict[str, UpstreamEntry]
+    configuration: RoutingConfiguration | None
+    configuration_revision: int
+    removals: tuple[UpstreamRemoval, ...]
+
+
 class StandInPlatformCodec(PlatformCodec):
     """Targets and JSON bodies of the calls to the stand-in."""
 
@@ -50,7 +64,7 @@
         """Return the target of a watch that ends after ``wait_ms`` without a change."""
         return f"/watch?after={after_revision}&wait_ms={wait_ms}"
 
-    def decode_listing(self, status: int, body: bytes) -> PlatformItems:
+    def decode_listing(self, status: int, headers: Mapping[str, str], body: bytes) -> PlatformItems:
         """Decode an answer."""
         if status == 410:
             raise RevisionCompactedError(status=status)
@@ -59,14 +73,15 @@
         decoded = msgspec.json.decode(body, type=_Body)
         return PlatformItems(
             revision=decoded.revision,
+            era=int(headers[ERA_HEADER]),
             entries=tuple(decoded.entries),
             removals=tuple(decoded.removals),
             configuration=decoded.configuration,
         )
 
-    def decode_watch(self, status: int, body: bytes) -> PlatformItems:
+    def decode_watch(self, status: int, headers: Mapping[str, str], body: bytes) -> PlatformItems:
         """Decode an answer."""
-        return self.decode_listing(status, body)
+        return self.decode_listing(status, headers, body)
 
 
 class PlatformStandIn:
@@ -81,6 +96,7 @@
         self._loop = loop
         self._listener = network.listener(endpoint, self._accept)
         self.revision = 1
+        self.era = 1
         self.entry_by_name: dict[str, UpstreamEntry] = {}
         self.configuration: RoutingConfiguration | None = None
         self._configuration_revision = 0
@@ -126,6 +142,26 @@
         self.revision += 1
         self._answer_watches()
 
+    def copy(self) -> PlatformCopy:
+        """Return a copy of the state, to ``restore`` the platform from."""
+        return PlatformCopy(
+            revision=self.revision,
+            entry_by_name=dict(self.entry_by_name),
+            configuration=self.configuration,
+            configuration_revision=self._configuration_revision,
+            removals=tuple(self._removals),
+        )
+
+    def restore(self, copy: PlatformCopy) -> None:
+        """Return to the state of ``copy`` in a new era; waiting watches get no answer."""
+        self.era += 1
+        self.revision = copy.revision
+        self.entry_by_name = dict(copy.entry_by_name)
+        self.configuration = copy.configuration
+        self._configuration_revision = copy.configuration_revision
+        self._removals = list(copy.removals)
+        self._waiting_watches.clear()
+
     def changes_after(self, revision: int) -> bytes | None:
         """Return the body with the changes after ``revision``, or None if there are none."""
         body = _Body(
@@ -167,7 +203,7 @@
             connection.schedule_answer(200, msgspec.json.encode(body))
             return
         connection.after = int(query["after"][0])
-        if connection.after < self._oldest_revision:
+        if not self._oldest_revision <= connection.after <= self.revision:
             connection.schedule_answer(410, b"{}")
             return
         changes = self.changes_after(connection.after)
@@ -236,7 +272,10 @@
         """Send the answer after ``ANSWER_DELAY_S``."""
 
         def answer() -> None:
-            headers = [("Content-Length", str(len(body)))]
+            headers = [
+                ("Content-Length", str(len(body))),
+                (ERA_HEADER, str(self._platform.era)),
+            ]
             parts = [
                 h11.Response(status_code=status, headers=headers),
                 h11.Data(data=body),
--- a/libs/standins/src/laburnumbridge/standins/flows/readiness_checks.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/readiness_checks.py
@@ -55,7 +55,7 @@
                     on_failure=partial(self._on_failure, address),
                 )
 
-    def _on_answer(self, address: str, status: int, _body: bytes) -> None:
+    def _on_answer(self, address: str, status: int, _headers: dict[str, str], _body: bytes) -> None:
         if status != 200:
             self._record_failure(address)
             return
