Order the view by era and revision

Callers saw requests at upstreams that had left more than 3 s before, and openings sent to VMs that were gone, after the platform had come back from an older copy.

Cause: entries, removals, tombstones and the revision up to which a view is complete were compared by the platform's bare revision, in each process, between peers and in the read plan. A restored platform gives the same numbers out again, so that a draining with a lower revision, an entry missing from a listing and a new upstream were all taken for old news, until the numbers had passed the old ones. The class of fault is a comparison of positions of two histories as if they were of one.

Change: a Revision is the pair of era and number, and everything compares pairs. A read plan that meets another era lists again, and discards an answer from an earlier one. What the copy lacks is held like removals after an outage, for 2.2 s in each process. Within a new era the state that the platform had confirmed is kept: an upstream that drains isn't ready again, and an earlier start of it doesn't replace a later one; a peer that doesn't know that is told. A removal that is held across eras keeps the complete revision where it was before, and an update that makes the view complete has all changes since, not only its own: a peer took its view for complete at the end of a hold without an upstream that was published meanwhile (test_changes_made_while_a_removal_was_held_reach_a_peer_with_it; the code before leaves the peer at revision 21 with an empty view).

--- a/libs/catalog/src/laburnumbridge/catalog/__init__.py
+++ b/libs/catalog/src/laburnumbridge/catalog/__init__.py
@@ -7,6 +7,7 @@
 from laburnumbridge.catalog.errors import MalformedUpdateError
 from laburnumbridge.catalog.platform_codec import Listing
 from laburnumbridge.catalog.platform_codec import MalformedAnswerError
+from laburnumbridge.catalog.platform_codec import OutdatedAnswerError
 from laburnumbridge.catalog.platform_codec import PlatformCodec
 from laburnumbridge.catalog.platform_codec import PlatformItems
 from laburnumbridge.catalog.platform_codec import PlatformRefusedError
@@ -19,11 +20,14 @@
 from laburnumbridge.catalog.records import ServiceShare
 from laburnumbridge.catalog.records import UpstreamEntry
 from laburnumbridge.catalog.records import UpstreamRemoval
+from laburnumbridge.catalog.revision import NO_REVISION
+from laburnumbridge.catalog.revision import Revision
 from laburnumbridge.catalog.routes import RouteIndex
 from laburnumbridge.catalog.update_codec import UpdateDecoder
 from laburnumbridge.catalog.update_codec import encode_update
 
 __all__ = [
+    "NO_REVISION",
     "Catalog",
     "CatalogUpdate",
     "ConfigurationChange",
@@ -31,10 +35,12 @@
     "MalformedAnswerError",
     "MalformedItemError",
     "MalformedUpdateError",
+    "OutdatedAnswerError",
     "PlatformCodec",
     "PlatformItems",
     "PlatformRefusedError",
     "ReadPlan",
+    "Revision",
     "RevisionCompactedError",
     "Route",
     "RouteIndex",
--- a/libs/catalog/src/laburnumbridge/catalog/catalog.py
+++ b/libs/catalog/src/laburnumbridge/catalog/catalog.py
@@ -2,18 +2,39 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from laburnumbridge.catalog.configuration_changes import apply_change
 from laburnumbridge.catalog.configuration_changes import diff_configurations
+from laburnumbridge.catalog.entry_versions import keep_confirmed_state
+from laburnumbridge.catalog.entry_versions import version_key
 from laburnumbridge.catalog.records import CatalogUpdate
 from laburnumbridge.catalog.records import UpstreamRemoval
+from laburnumbridge.catalog.revision import NO_REVISION
 
 if TYPE_CHECKING:
     from laburnumbridge.catalog.records import ConfigurationChange
     from laburnumbridge.catalog.records import RoutingConfiguration
     from laburnumbridge.catalog.records import UpstreamEntry
+    from laburnumbridge.catalog.revision import Revision
+
+REMOVAL_HOLD_S = 2.2
+"""How long removals are held after an outage, or after the platform was restored from a copy.
+Entries that expired or were lost are published again within 2 s; 0.2 s allow for their delivery."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeldRemoval:
+    """A removal that takes effect at ``until``.
+
+    Until then the view is complete up to ``complete_revision`` at most.
+    """
+
+    removal: UpstreamRemoval
+    until: float
+    complete_revision: Revision
 
 
 class Catalog:
@@ -23,6 +44,10 @@
     so processes that exchange updates in any order converge to the same view. The newest version
     of the configuration wins; an older one never replaces it.
 
+    After the platform was restored from a copy, all entries are of a new era and replace those of
+    the one before. What the platform had confirmed and the copy lacks stays true: an upstream that
+    drains isn't ready again, and an earlier start of it doesn't replace a later one.
+
     The view is complete up to ``complete_revision``: an upstream that it lacks there has left, and
     an older entry of it, however late it arrives, changes nothing. So no table needs a time-out to
     keep an upstream that has left out of use. Removals newer than that revision are kept as
@@ -32,13 +57,15 @@
     def __init__(self) -> None:
         self.entry_by_name: dict[str, UpstreamEntry] = {}
         self.configuration: RoutingConfiguration | None = None
-        self.revision = 0
+        self.revision: Revision = NO_REVISION
         self.confirmed_at: float | None = None
         self.confirmed_by = ""
-        self._complete_revision = 0
-        self._changed_revision = 0
+        self._complete_revision = NO_REVISION
+        self._listed_revision = NO_REVISION
+        self._changed_revision = NO_REVISION
+        self._restored_at: float | None = None
         self._tombstone_by_name: dict[str, UpstreamRemoval] = {}
-        self._held_removal_by_name: dict[str, tuple[UpstreamRemoval, float]] = {}
+        self._held_removal_by_name: dict[str, HeldRemoval] = {}
 
     @property
     def configuration_version(self) -> int:
@@ -46,9 +73,9 @@
         return 0 if self.configuration is None else self.configuration.version
 
     @property
-    def complete_revision(self) -> int:
+    def complete_revision(self) -> Revision:
         """Revision up to which the view lacks no change; a removal that is held is lacking."""
-        held = [removal.revision - 1 for removal, _ in self._held_removal_by_name.values()]
+        held = (held.complete_revision for held in self._held_removal_by_name.values())
         return min([self._complete_revision, *held])
 
     @property
@@ -66,7 +93,8 @@
         """Merge ``update`` and return the part of it that was new.
 
         After an outage of the platform, removals are held until ``hold_removals_until``, since
-        entries that expired during the outage are published again by that time.
+        entries that expired during the outage are published again by that time. They are also held
+        after a restore, since entries that the copy lacks are published again.
         """
         if update.confirmed_age_ms is not None:
             confirmed_at = now - update.confirmed_age_ms / 1000
@@ -74,77 +102,89 @@
                 self.confirmed_at = confirmed_at
                 self.confirmed_by = update.confirmed_by
         if update.has_changes or update.is_own_reading:
-            self.revision = max(self.revision, update.revision)
+            self._advance(update.revision, now)
+        if self._restored_at is not None:
+            hold_removals_until = max(hold_removals_until, self._restored_at + REMOVAL_HOLD_S)
         complete_before = self.complete_revision
-        entries = [entry for entry in update.entries if self._merge_entry(entry, update)]
+        merged = [self._merge_entry(entry, update) for entry in update.entries]
+        entries = [entry for entry in merged if entry is not None]
         removals = []
         for removal in (*update.removals, *self._removals_of_absent(update)):
             if hold_removals_until > now and removal.name in self.entry_by_name:
-                self._held_removal_by_name[removal.name] = (removal, hold_removals_until)
+                self._hold(removal, hold_removals_until, complete_before)
             elif self._merge_removal(removal):
                 removals.append(removal)
         configuration, change, is_outdated = self._merge_configuration(update)
         if update.is_own_reading or update.complete_since <= complete_before:
             self._complete_revision = max(self._complete_revision, update.complete_revision)
-        self._drop_tombstones()
+            if update.present is not None:
+                self._listed_revision = max(self._listed_revision, update.complete_revision)
+        return replace(
+            self._new_since(complete_before, entries, removals),
+            confirmed_age_ms=update.confirmed_age_ms,
+            confirmed_by=update.confirmed_by,
+            configuration=configuration,
+            configuration_change=change,
+            lacks_configuration=is_outdated,
+        )
+
+    def _new_since(
+        self,
+        complete_before: Revision,
+        entries: list[UpstreamEntry],
+        removals: list[UpstreamRemoval],
+    ) -> CatalogUpdate:
+        """Return the update for peers after ``entries`` and ``removals`` have taken effect."""
+        complete = self.complete_revision
         present = None
-        if self.complete_revision > complete_before:
+        if complete > complete_before:
             # Peers that become complete by this update need each change since the last one, also
             # those that this process had before.
-            entries = self._entries_since(complete_before, update)
-            removals += self._other_removals_since(complete_before, update, removals)
-            present = None if update.present is None else tuple(self.entry_by_name)
+            entries = [one for one in self.entry_by_name.values() if one.revision > complete_before]
+            removal_by_name = {removal.name: removal for removal in removals}
+            for removal in self._tombstone_by_name.values():
+                if removal.revision > complete_before:
+                    removal_by_name.setdefault(removal.name, removal)
+            removals = list(removal_by_name.values())
+            if self._listed_revision > complete_before:
+                # A listing doesn't tell what has left.
+                present = tuple(self.entry_by_name)
+        self._drop_tombstones()
         if entries or removals or present is not None:
-            self._changed_revision = self.complete_revision
+            self._changed_revision = complete
         return CatalogUpdate(
             revision=self.revision,
             complete_since=complete_before,
-            complete_revision=self.complete_revision,
-            confirmed_age_ms=update.confirmed_age_ms,
-            confirmed_by=update.confirmed_by,
+            complete_revision=complete,
+            confirmed_age_ms=None,
             present=present,
             entries=tuple(entries),
             removals=tuple(removals),
-            configuration=configuration,
-            configuration_change=change,
-            lacks_configuration=is_outdated,
         )
 
-    def _entries_since(self, revision: int, update: CatalogUpdate) -> list[UpstreamEntry]:
-        return [
-            entry
-            for entry in update.entries
-            if entry.revision > revision and self.entry_by_name.get(entry.name) == entry
-        ]
-
-    def _other_removals_since(
-        self, revision: int, update: CatalogUpdate, known: list[UpstreamRemoval]
-    ) -> list[UpstreamRemoval]:
-        known_names = {removal.name for removal in known}
-        return [
-            removal
-            for removal in update.removals
-            if removal.revision > revision
-            and removal.name not in known_names
-            and removal.name not in self.entry_by_name
-        ]
+    def _advance(self, revision: Revision, now: float) -> None:
+        if self.revision > NO_REVISION and revision.era > self.revision.era:
+            self._restored_at = now
+        self.revision = max(self.revision, revision)
+
+    def _hold(self, removal: UpstreamRemoval, until: float, complete_before: Revision) -> None:
+        entry = self.entry_by_name[removal.name]
+        is_of_one_era = entry.revision.era == removal.revision.era
+        self._held_removal_by_name[removal.name] = HeldRemoval(
+            removal=removal,
+            until=until,
+            # An entry that a copy lacks is missing from the new era's first revision on.
+            complete_revision=removal.revision.previous if is_of_one_era else complete_before,
+        )
 
     def apply_held_removals(self, now: float) -> CatalogUpdate:
         """Apply the held removals that are due; return those that took effect."""
-        due = [removal for removal, until in self._held_removal_by_name.values() if until <= now]
         complete_before = self.complete_revision
+        due = [held.removal for held in self._held_removal_by_name.values() if held.until <= now]
         for removal in due:
             del self._held_removal_by_name[removal.name]
-        removals = tuple(removal for removal in due if self._merge_removal(removal))
-        if removals:
-            self._changed_revision = self.complete_revision
-        return CatalogUpdate(
-            revision=self.revision,
-            complete_since=complete_before,
-            complete_revision=self.complete_revision,
-            confirmed_age_ms=None,
-            removals=removals,
-        )
+        removals = [removal for removal in due if self._merge_removal(removal)]
+        return self._new_since(complete_before, [], removals)
 
     def _removals_of_absent(self, update: CatalogUpdate) -> tuple[UpstreamRemoval, ...]:
         """Return removals of the entries that have left according to ``update.present``."""
@@ -161,7 +201,7 @@
         """Return the complete view, for a peer that has just connected."""
         return replace(
             self.heartbeat(now),
-            complete_since=0,
+            complete_since=NO_REVISION,
             present=tuple(self.entry_by_name),
             entries=tuple(self.entry_by_name.values()),
             removals=tuple(self._tombstone_by_name.values()),
@@ -200,28 +240,31 @@
             return None, change, False
         return None, None, update.configuration_version > self.configuration_version
 
-    def _merge_entry(self, entry: UpstreamEntry, update: CatalogUpdate) -> bool:
+    def _merge_entry(self, entry: UpstreamEntry, update: CatalogUpdate) -> UpstreamEntry | None:
+        """Merge ``entry``; return what is in use now if that has changed, or None."""
         current = self.entry_by_name.get(entry.name)
-        if current is not None and current.revision >= entry.revision:
-            return False
+        if current is not None:
+            entry = keep_confirmed_state(current, entry)
+            if version_key(entry) <= version_key(current):
+                return None
         has_left = current is None and entry.revision <= self.complete_revision
         if has_left and not update.is_own_reading:
-            return False
+            return None
         tombstone = self._tombstone_by_name.get(entry.name)
         if tombstone is not None and tombstone.revision >= entry.revision:
-            return False
+            return None
         held = self._held_removal_by_name.get(entry.name)
-        if held is not None and entry.revision > held[0].revision:
+        if held is not None and entry.revision > held.removal.revision:
             del self._held_removal_by_name[entry.name]
         self.entry_by_name[entry.name] = entry
-        return True
+        return entry
 
     def _merge_removal(self, removal: UpstreamRemoval) -> bool:
         tombstone = self._tombstone_by_name.get(removal.name)
         if tombstone is None or tombstone.revision < removal.revision:
             self._tombstone_by_name[removal.name] = removal
         held = self._held_removal_by_name.get(removal.name)
-        if held is not None and held[0].revision <= removal.revision:
+        if held is not None and held.removal.revision <= removal.revision:
             del self._held_removal_by_name[removal.name]
         entry = self.entry_by_name.get(removal.name)
         if entry is None or entry.revision > removal.revision:
--- a/libs/catalog/src/laburnumbridge/catalog/platform_codec.py
+++ b/libs/catalog/src/laburnumbridge/catalog/platform_codec.py
@@ -17,6 +17,7 @@
     from laburnumbridge.catalog.records import RoutingConfiguration
     from laburnumbridge.catalog.records import UpstreamEntry
     from laburnumbridge.catalog.records import UpstreamRemoval
+    from laburnumbridge.catalog.revision import Revision
 
 
 class Listing(Enum):
@@ -30,14 +31,12 @@
 class PlatformItems:
     """Decoded items of an answer.
 
-    ``era`` rises each time the platform is restored from a copy and gives revisions out again; 0 if
-    the platform doesn't say. ``next_after`` is the key after which the next page of a listing
-    starts, or None on the last page. ``malformed`` has an error for each item that can't be used;
-    the other items are valid.
+    All revisions are of the era that the answer names, or of era 0 if it names none. ``next_after``
+    is the key after which the next page of a listing starts, or None on the last page.
+    ``malformed`` has an error for each item that can't be used; the other items are valid.
     """
 
-    revision: int
-    era: int = 0
+    revision: Revision
     entries: tuple[UpstreamEntry, ...] = ()
     removals: tuple[UpstreamRemoval, ...] = ()
     configuration: RoutingConfiguration | None = None
@@ -65,6 +64,13 @@
         self.reason = reason
 
 
+class OutdatedAnswerError(UnavailableError):
+    """The platform answered from an era before the one that is known."""
+
+    def __init__(self, *, era: int, known_era: int) -> None:
+        super().__init__(f"the platform answered from era {era}; era {known_era} has begun")
+
+
 class PlatformCodec(ABC):
     """Builds the targets of calls and decodes their answers.
 
--- a/libs/catalog/src/laburnumbridge/catalog/read_plan.py
+++ b/libs/catalog/src/laburnumbridge/catalog/read_plan.py
@@ -5,14 +5,18 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from laburnumbridge.catalog.catalog import REMOVAL_HOLD_S
 from laburnumbridge.catalog.platform_codec import Listing
+from laburnumbridge.catalog.platform_codec import OutdatedAnswerError
 from laburnumbridge.catalog.platform_codec import RevisionCompactedError
 from laburnumbridge.catalog.records import CatalogUpdate
+from laburnumbridge.catalog.revision import NO_REVISION
 
 if TYPE_CHECKING:
     from laburnumbridge.catalog.catalog import Catalog
     from laburnumbridge.catalog.platform_codec import PlatformItems
     from laburnumbridge.catalog.records import UpstreamEntry
+    from laburnumbridge.catalog.revision import Revision
     from laburnumbridge.core import LaburnumbridgeError
 
 LISTING_TIMEOUT_S = 1.5
@@ -25,9 +29,6 @@
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
 """Longest pause, so the platform is read within this time after it is available again."""
-REMOVAL_HOLD_S = 2.2
-"""How long removals are held after an outage. Entries that expired during it are published again
-within 2 s of its end; 0.2 s allow for their delivery."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -44,10 +45,12 @@
 
 
 class ReadPlan:
-    """Plans complete listings, then watches; lists again if the platform has compacted its history.
+    """Plans complete listings, then watches.
 
-    After a failure it pauses with exponential backoff. Answers are merged into the catalog, and
-    what was new is returned, to be sent to peers.
+    It lists again if the platform has compacted its history, or was restored from a copy: in a new
+    era a watch from an earlier revision would miss changes. After a failure it pauses with
+    exponential backoff. Answers are merged into the catalog, and what was new is returned, to be
+    sent to peers.
     """
 
     def __init__(self, *, catalog: Catalog, reader: str) -> None:
@@ -56,7 +59,7 @@
         self._backoff_s = MIN_BACKOFF_S
         self._is_failing = False
         self._recovered_at: float | None = None
-        self._watch_after = 0
+        self._watch_after = NO_REVISION
         self.restart()
 
     def restart(self) -> None:
@@ -64,7 +67,8 @@
         self._pending_listings: list[Listing] = [Listing.CONFIGURATION, Listing.UPSTREAMS]
         self._after_key: str | None = None
         self._listed_entries: list[UpstreamEntry] = []
-        self._first_page_revision: int | None = None
+        self._first_page_revision: Revision | None = None
+        self._era: int | None = None
 
     @property
     def is_failing(self) -> bool:
@@ -83,12 +87,22 @@
         return ReadCall(
             listing=None,
             after_key=None,
-            after_revision=self._watch_after,
+            after_revision=self._watch_after.number,
             timeout_s=WATCH_TIMEOUT_S,
         )
 
     def on_items(self, items: PlatformItems, now: float) -> CatalogUpdate:
-        """Merge the answer to the current call; return what was new."""
+        """Merge the answer to the current call; return what was new.
+
+        Raises OutdatedAnswerError.
+        """
+        era, known_era = items.revision.era, self._catalog.revision.era
+        if era < known_era:
+            raise OutdatedAnswerError(era=era, known_era=known_era)
+        if self._era not in (None, era):
+            self.restart()
+            return self._catalog.heartbeat(now)
+        self._era = era
         if self._is_failing:
             self._is_failing = False
             self._recovered_at = now
@@ -108,8 +122,8 @@
         return self._catalog.merge(
             CatalogUpdate(
                 # The view is complete at a revision only after the last page of the last listing.
-                revision=0 if self._pending_listings else items.revision,
-                complete_revision=0 if self._pending_listings else self._watch_after,
+                revision=NO_REVISION if self._pending_listings else items.revision,
+                complete_revision=NO_REVISION if self._pending_listings else self._watch_after,
                 confirmed_age_ms=None if self._pending_listings else 0,
                 confirmed_by=self._reader,
                 is_own_reading=True,
--- a/libs/catalog/src/laburnumbridge/catalog/records.py
+++ b/libs/catalog/src/laburnumbridge/catalog/records.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from laburnumbridge.catalog.revision import NO_REVISION
+from laburnumbridge.catalog.revision import Revision
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UpstreamEntry:
@@ -24,7 +27,7 @@
     is_draining: bool
     warm_up_left_ms: int
     started_ms: int
-    revision: int
+    revision: Revision
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -32,7 +35,7 @@
     """The removal of an upstream's entry at the platform's ``revision``."""
 
     name: str
-    revision: int
+    revision: Revision
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -97,12 +100,12 @@
     means that the sender can't apply a change and needs the whole configuration.
     """
 
-    revision: int
+    revision: Revision
     confirmed_age_ms: int | None
     confirmed_by: str = ""
     is_own_reading: bool = False
-    complete_since: int = 0
-    complete_revision: int = 0
+    complete_since: Revision = NO_REVISION
+    complete_revision: Revision = NO_REVISION
     present: tuple[str, ...] | None = None
     entries: tuple[UpstreamEntry, ...] = field(default=())
     removals: tuple[UpstreamRemoval, ...] = field(default=())
--- a/libs/forwarding/src/laburnumbridge/forwarding/store_reader.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/store_reader.py
@@ -41,7 +41,6 @@
         on_update: Callable[[CatalogUpdate], None],
     ) -> None:
         self._loop = loop
-        self._catalog = catalog
         self._codec = codec
         self._plan = ReadPlan(catalog=catalog, reader=reader)
         self._client = HttpClient(loop=loop, network=network, endpoint=endpoint)
@@ -50,7 +49,6 @@
         self._on_update = on_update
         self._is_running = False
         self._is_call_scheduled = False
-        self._era: int | None = None
 
     @property
     def is_running(self) -> bool:
@@ -99,30 +97,22 @@
         decode = self._codec.decode_watch if is_watch else self._codec.decode_listing
         try:
             items = decode(status, headers, body)
+            self._log_items(items)
+            update = self._plan.on_items(items, self._loop.now())
         except LaburnumbridgeError as error:
             self._on_failure(error)
             return
-        for malformed in items.malformed:
-            self._metrics.count("platform_items_ignored_total")
-            self._log.write(Event.ITEM_IGNORED, key=malformed.key, reason=malformed.reason)
-        self._log_platform_state(items)
-        self._on_update(self._plan.on_items(items, self._loop.now()))
+        self._on_update(update)
         # Scheduled on the loop, so that calls that are answered at once don't nest.
         self._is_call_scheduled = True
         self._loop.call_later(0.0, self._call)
 
-    def _log_platform_state(self, items: PlatformItems) -> None:
+    def _log_items(self, items: PlatformItems) -> None:
+        for malformed in items.malformed:
+            self._metrics.count("platform_items_ignored_total")
+            self._log.write(Event.ITEM_IGNORED, key=malformed.key, reason=malformed.reason)
         if self._plan.is_failing:
-            self._log.write(Event.PLATFORM_AVAILABLE, era=items.era, revision=items.revision)
-        if self._era not in (None, items.era):
-            self._log.write(
-                Event.PLATFORM_RESTORED,
-                era=items.era,
-                revision=items.revision,
-                previous_era=self._era,
-                view_revision=self._catalog.revision,
-            )
-        self._era = items.era
+            self._log.write(Event.PLATFORM_AVAILABLE, revision=items.revision)
 
     def _on_failure(self, error: LaburnumbridgeError) -> None:
         was_failing = self._plan.is_failing
--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from laburnumbridge.catalog import NO_REVISION
 from laburnumbridge.catalog import Catalog
 from laburnumbridge.catalog import MalformedUpdateError
 from laburnumbridge.catalog import UpdateDecoder
@@ -103,6 +104,7 @@
             metrics=metrics,
             on_update=lambda update: self._propagate(update, None),
         )
+        self._logged_revision = NO_REVISION
         self._listener: StreamListener | None = None
         if settings.control_endpoint is not None:
             self._listener = network.listener(
@@ -234,11 +236,24 @@
         link.has_received_update = True
         changes = self.catalog.merge(update, now)
         self._propagate(changes, link)
+        self._send_kept_state(link, changes, update)
         if changes.lacks_configuration:
             self._send(link, replace(self.catalog.heartbeat(now), lacks_configuration=True))
         elif self.catalog.complete_revision < update.complete_revision:
             self._request_snapshot(link, now)
 
+    def _send_kept_state(
+        self, link: _PeerLink, changes: CatalogUpdate, update: CatalogUpdate
+    ) -> None:
+        """Tell a peer what this process has kept of entries that the peer has from a copy.
+
+        A peer that has just started doesn't know what the platform had confirmed before.
+        """
+        offered = set(update.entries)
+        kept = tuple(entry for entry in changes.entries if entry not in offered)
+        if kept:
+            self._send(link, replace(self.catalog.heartbeat(self._loop.now()), entries=kept))
+
     def _request_snapshot(self, link: _PeerLink, now: float) -> None:
         """Tell a peer with a more complete view what this process has; it answers with its view."""
         if now - link.last_requested_at > SNAPSHOT_INTERVAL_S:
@@ -257,7 +272,9 @@
         """Log ``update``, call ``on_change`` with it and send it to all peers except ``source``."""
         if not update.has_changes:
             return
-        self._log_changes(update, "platform" if source is None else source.endpoint)
+        source_name = "platform" if source is None else source.endpoint
+        self._log_restore(source_name)
+        self._log_changes(update, source_name)
         self._on_change(update)
         now = self._loop.now()
         heartbeat = self.catalog.heartbeat(now)
@@ -277,6 +294,15 @@
             if link is not source and link.is_connected:
                 link.stream.send(data)
 
+    def _log_restore(self, source: str) -> None:
+        """Log that the view has changed to a new era of the platform, except for the first one."""
+        revision, previous = self.catalog.revision, self._logged_revision
+        if previous > NO_REVISION and previous.era < revision.era:
+            self._log.write(
+                Event.PLATFORM_RESTORED, revision=revision, previous=previous, source=source
+            )
+        self._logged_revision = revision
+
     def _log_changes(self, update: CatalogUpdate, source: str) -> None:
         configuration = self.catalog.configuration
         if configuration is not None and (update.configuration or update.configuration_change):
