Don't use an upstream that left before a restore

Callers' openings were sent to VMs that are gone for up to 3.6 s after a restore, and an address that had been given to another service was listed for the earlier one.

Cause: the copy still lists what left in the lost seconds, and a listing was taken as proof that an upstream serves.

Change: a process remembers removals for 60 s with the start of the upstream. An entry of a new era with that start or an earlier one is held until the upstream publishes it again, or for 4.5 s, after which the copy's entry must have expired. A process that has started since is told by its peers, so that a restart doesn't bring back what has left.

The tests of catalog and forwarding pass.

--- a/libs/catalog/src/laburnumbridge/catalog/catalog.py
+++ b/libs/catalog/src/laburnumbridge/catalog/catalog.py
@@ -8,6 +8,8 @@
 
 from laburnumbridge.catalog.configuration_changes import apply_change
 from laburnumbridge.catalog.configuration_changes import diff_configurations
+from laburnumbridge.catalog.departures import Departures
+from laburnumbridge.catalog.departures import has_departed
 from laburnumbridge.catalog.entry_versions import keep_confirmed_state
 from laburnumbridge.catalog.entry_versions import version_key
 from laburnumbridge.catalog.records import CatalogUpdate
@@ -20,6 +22,9 @@
     from laburnumbridge.catalog.records import UpstreamEntry
     from laburnumbridge.catalog.revision import Revision
 
+RETURN_HOLD_S = 4.5
+"""How long the entry of an upstream that left before a restore isn't used. An upstream publishes
+its entry every 1.2 s, and the platform removes it after three such intervals of silence."""
 REMOVAL_HOLD_S = 2.2
 """How long removals are held after an outage, or after the platform was restored from a copy.
 Entries that expired or were lost are published again within 2 s; 0.2 s allow for their delivery."""
@@ -37,6 +42,19 @@
     complete_revision: Revision
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeldEntry:
+    """An entry that is used from ``until`` on, if it isn't removed before."""
+
+    entry: UpstreamEntry
+    until: float
+
+    @property
+    def complete_revision(self) -> Revision:
+        """Revision up to which the view is complete without the entry."""
+        return self.entry.revision.previous
+
+
 class Catalog:
     """The upstreams by name and the configuration, merged from the platform and from peers.
 
@@ -46,7 +64,8 @@
 
     After the platform was restored from a copy, all entries are of a new era and replace those of
     the one before. What the platform had confirmed and the copy lacks stays true: an upstream that
-    drains isn't ready again, and an earlier start of it doesn't replace a later one.
+    drains isn't ready again, an earlier start of it doesn't replace a later one, and one that has
+    left isn't used until it has published its entry again or the copy's entry must have expired.
 
     The view is complete up to ``complete_revision``: an upstream that it lacks there has left, and
     an older entry of it, however late it arrives, changes nothing. So no table needs a time-out to
@@ -66,6 +85,10 @@
         self._restored_at: float | None = None
         self._tombstone_by_name: dict[str, UpstreamRemoval] = {}
         self._held_removal_by_name: dict[str, HeldRemoval] = {}
+        self._held_entry_by_name: dict[str, HeldEntry] = {}
+        self._departures = Departures()
+        self._era = 0
+        self._era_began_at = 0.0
 
     @property
     def configuration_version(self) -> int:
@@ -74,9 +97,10 @@
 
     @property
     def complete_revision(self) -> Revision:
-        """Revision up to which the view lacks no change; a removal that is held is lacking."""
-        held = (held.complete_revision for held in self._held_removal_by_name.values())
-        return min([self._complete_revision, *held])
+        """Revision up to which the view lacks no change; a change that is held is lacking."""
+        removals = (held.complete_revision for held in self._held_removal_by_name.values())
+        entries = (held.complete_revision for held in self._held_entry_by_name.values())
+        return min([self._complete_revision, *removals, *entries])
 
     @property
     def is_ready(self) -> bool:
@@ -102,17 +126,18 @@
                 self.confirmed_at = confirmed_at
                 self.confirmed_by = update.confirmed_by
         if update.has_changes or update.is_own_reading:
-            self._advance(update.revision, now)
+            self._begin_era(update, now)
+            self.revision = max(self.revision, update.revision)
         if self._restored_at is not None:
             hold_removals_until = max(hold_removals_until, self._restored_at + REMOVAL_HOLD_S)
         complete_before = self.complete_revision
-        merged = [self._merge_entry(entry, update) for entry in update.entries]
+        merged = [self._merge_entry(entry, update, now) for entry in update.entries]
         entries = [entry for entry in merged if entry is not None]
         removals = []
         for removal in (*update.removals, *self._removals_of_absent(update)):
-            if hold_removals_until > now and removal.name in self.entry_by_name:
+            if hold_removals_until > now and self._is_removed_by(removal):
                 self._hold(removal, hold_removals_until, complete_before)
-            elif self._merge_removal(removal):
+            elif self._merge_removal(removal, now):
                 removals.append(removal)
         configuration, change, is_outdated = self._merge_configuration(update)
         if update.is_own_reading or update.complete_since <= complete_before:
@@ -162,10 +187,19 @@
             removals=tuple(removals),
         )
 
-    def _advance(self, revision: Revision, now: float) -> None:
-        if self.revision > NO_REVISION and revision.era > self.revision.era:
+    def _begin_era(self, update: CatalogUpdate, now: float) -> None:
+        # The first pages of a listing have entries of the new era, but no revision.
+        era = max([update.revision.era, *(entry.revision.era for entry in update.entries)])
+        if era <= self._era:
+            return
+        if self.revision > NO_REVISION:
             self._restored_at = now
-        self.revision = max(self.revision, revision)
+        self._era = era
+        self._era_began_at = now
+
+    def _is_removed_by(self, removal: UpstreamRemoval) -> bool:
+        entry = self.entry_by_name.get(removal.name)
+        return entry is not None and entry.revision <= removal.revision
 
     def _hold(self, removal: UpstreamRemoval, until: float, complete_before: Revision) -> None:
         entry = self.entry_by_name[removal.name]
@@ -177,14 +211,32 @@
             complete_revision=removal.revision.previous if is_of_one_era else complete_before,
         )
 
-    def apply_held_removals(self, now: float) -> CatalogUpdate:
-        """Apply the held removals that are due; return those that took effect."""
+    def held_departures(self, update: CatalogUpdate) -> tuple[UpstreamRemoval, ...]:
+        """Return the departures because of which entries of ``update`` are held."""
+        found = (
+            self._departures.find(entry)
+            for entry in update.entries
+            if entry.name in self._held_entry_by_name
+        )
+        return tuple(removal for removal in found if removal is not None)
+
+    def apply_held_changes(self, now: float) -> CatalogUpdate:
+        """Apply the held removals and entries that are due; return those that took effect."""
         complete_before = self.complete_revision
         due = [held.removal for held in self._held_removal_by_name.values() if held.until <= now]
         for removal in due:
             del self._held_removal_by_name[removal.name]
-        removals = [removal for removal in due if self._merge_removal(removal)]
-        return self._new_since(complete_before, [], removals)
+        removals = [removal for removal in due if self._merge_removal(removal, now)]
+        entries = [held.entry for held in self._held_entry_by_name.values() if held.until <= now]
+        for entry in entries:
+            self._use(entry)
+        self._departures.expire(now)
+        return self._new_since(complete_before, entries, removals)
+
+    @property
+    def _known_entry_by_name(self) -> dict[str, UpstreamEntry]:
+        held = {name: held.entry for name, held in self._held_entry_by_name.items()}
+        return {**held, **self.entry_by_name}
 
     def _removals_of_absent(self, update: CatalogUpdate) -> tuple[UpstreamRemoval, ...]:
         """Return removals of the entries that have left according to ``update.present``."""
@@ -193,7 +245,7 @@
         present = {*update.present, *(entry.name for entry in update.entries)}
         return tuple(
             UpstreamRemoval(name=name, revision=update.complete_revision)
-            for name, entry in self.entry_by_name.items()
+            for name, entry in self._known_entry_by_name.items()
             if name not in present and entry.revision <= update.complete_revision
         )
 
@@ -240,7 +292,9 @@
             return None, change, False
         return None, None, update.configuration_version > self.configuration_version
 
-    def _merge_entry(self, entry: UpstreamEntry, update: CatalogUpdate) -> UpstreamEntry | None:
+    def _merge_entry(
+        self, entry: UpstreamEntry, update: CatalogUpdate, now: float
+    ) -> UpstreamEntry | None:
         """Merge ``entry``; return what is in use now if that has changed, or None."""
         current = self.entry_by_name.get(entry.name)
         if current is not None:
@@ -253,24 +307,57 @@
         tombstone = self._tombstone_by_name.get(entry.name)
         if tombstone is not None and tombstone.revision >= entry.revision:
             return None
+        if self._departures.find(entry) is not None and self._hold_return(entry, now):
+            return None
         held = self._held_removal_by_name.get(entry.name)
         if held is not None and entry.revision > held.removal.revision:
             del self._held_removal_by_name[entry.name]
-        self.entry_by_name[entry.name] = entry
+        self._use(entry)
         return entry
 
-    def _merge_removal(self, removal: UpstreamRemoval) -> bool:
+    def _use(self, entry: UpstreamEntry) -> None:
+        self._held_entry_by_name.pop(entry.name, None)
+        self._departures.forget(entry.name)
+        self.entry_by_name[entry.name] = entry
+
+    def _hold_return(self, entry: UpstreamEntry, now: float) -> bool:
+        """Hold the entry of an upstream that has left, unless it was published again since."""
+        until = self._era_began_at + RETURN_HOLD_S
+        held = self._held_entry_by_name.get(entry.name)
+        is_published_again = (
+            held is not None
+            and held.entry.revision.era == entry.revision.era
+            and held.entry.revision < entry.revision
+        )
+        if until <= now or is_published_again:
+            return False
+        self._held_entry_by_name[entry.name] = HeldEntry(entry=entry, until=until)
+        return True
+
+    def _merge_removal(self, removal: UpstreamRemoval, now: float) -> bool:
+        """Merge ``removal``; return whether the upstream was in use until now."""
         tombstone = self._tombstone_by_name.get(removal.name)
         if tombstone is None or tombstone.revision < removal.revision:
             self._tombstone_by_name[removal.name] = removal
         held = self._held_removal_by_name.get(removal.name)
         if held is not None and held.removal.revision <= removal.revision:
             del self._held_removal_by_name[removal.name]
+        held_entry = self._held_entry_by_name.get(removal.name)
+        if held_entry is not None and held_entry.entry.revision <= removal.revision:
+            del self._held_entry_by_name[removal.name]
         entry = self.entry_by_name.get(removal.name)
-        if entry is None or entry.revision > removal.revision:
+        if entry is None:
             return False
-        del self.entry_by_name[removal.name]
-        return True
+        if entry.revision <= removal.revision:
+            del self.entry_by_name[removal.name]
+            self._departures.note(replace(removal, started_ms=entry.started_ms), now)
+            return True
+        if has_departed(entry, removal) and self._hold_return(entry, now):
+            # This process has started since, and has the entry from the copy.
+            del self.entry_by_name[removal.name]
+            self._departures.note(removal, now)
+            return True
+        return False
 
     def _drop_tombstones(self) -> None:
         """Drop the tombstones that the revision of the complete view replaces."""
--- a/libs/catalog/src/laburnumbridge/catalog/records.py
+++ b/libs/catalog/src/laburnumbridge/catalog/records.py
@@ -32,10 +32,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UpstreamRemoval:
-    """The removal of an upstream's entry at the platform's ``revision``."""
+    """The removal of an upstream's entry at the platform's ``revision``.
+
+    ``started_ms`` is the start of the upstream that left, or None if its entry isn't known.
+    """
 
     name: str
     revision: Revision
+    started_ms: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/libs/catalog/tests/test_catalog.py
+++ b/libs/catalog/tests/test_catalog.py
@@ -92,15 +92,15 @@
         removal = update(removals=(UpstreamRemoval(name="up-1", revision=at(8)),))
         assert not catalog.merge(removal, 0.0, hold_removals_until=2.2).has_changes
         catalog.merge(update(entries=(replace(ENTRY, revision=at(9)),)), 1.0)
-        assert not catalog.apply_held_removals(3.0).has_changes
+        assert not catalog.apply_held_changes(3.0).has_changes
         assert "up-1" in catalog.entry_by_name
 
     def test_an_entry_not_published_again_is_removed(self, catalog):
         # Guards against new flows for an upstream that stopped during an outage of the platform.
         removal = update(removals=(UpstreamRemoval(name="up-1", revision=at(8)),))
         catalog.merge(removal, 0.0, hold_removals_until=2.2)
-        assert not catalog.apply_held_removals(2.0).has_changes
-        assert catalog.apply_held_removals(2.2).removals
+        assert not catalog.apply_held_changes(2.0).has_changes
+        assert catalog.apply_held_changes(2.2).removals
         assert not catalog.entry_by_name
 
     def test_changes_made_while_a_removal_was_held_reach_a_peer_with_it(self):
@@ -113,7 +113,7 @@
         held = reader.merge(own_reading(20, removals=(removal,)), 1.0, hold_removals_until=3.0)
         peer.merge(held, 1.0)
         reader.merge(own_reading(21, entries=(replace(ENTRY, name="up-2", revision=at(21)),)), 1.0)
-        peer.merge(reader.apply_held_removals(3.0), 3.0)
+        peer.merge(reader.apply_held_changes(3.0), 3.0)
         assert peer.complete_revision == at(21)
         assert set(peer.entry_by_name) == {"up-2"}
 
@@ -143,6 +143,57 @@
         assert not catalog.entry_by_name["up-1"].is_draining
 
 
+class TestReturnAfterARestore:
+    COPIED = replace(ENTRY, revision=at(2, era=2))
+
+    @pytest.fixture
+    def left(self, catalog):
+        removal = UpstreamRemoval(name="up-1", revision=at(8))
+        catalog.merge(update(revision=at(8), removals=(removal,)), 0.0)
+        catalog.merge(update(revision=at(3, era=2), entries=(self.COPIED,)), 1.0)
+        return catalog
+
+    def test_an_entry_of_the_copy_is_used_when_it_must_have_expired(self, left):
+        # Guards against a live upstream that is out of use for good.
+        assert not left.apply_held_changes(5.4).has_changes
+        assert left.apply_held_changes(5.5).entries == (self.COPIED,)
+        assert set(left.entry_by_name) == {"up-1"}
+
+    def test_an_entry_published_again_is_used_at_once(self, left):
+        # Guards against a live upstream without new flows for seconds.
+        again = replace(ENTRY, revision=at(4, era=2))
+        assert left.merge(update(entries=(again,)), 1.1).entries == (again,)
+        assert not left.apply_held_changes(9.0).has_changes
+
+    def test_a_later_start_is_used_at_once(self, left):
+        # Guards against an upstream without new flows since an earlier start of it has left.
+        later = replace(self.COPIED, started_ms=ENTRY.started_ms + 1, revision=at(3, era=2))
+        assert left.merge(update(entries=(later,)), 1.1).entries == (later,)
+
+    def test_an_entry_that_expires_is_never_used(self, left):
+        # Guards against an upstream in use that left before the restore.
+        removal = UpstreamRemoval(name="up-1", revision=at(5, era=2))
+        left.merge(update(revision=at(5, era=2), removals=(removal,)), 4.0)
+        assert not left.apply_held_changes(9.0).has_changes
+        assert not left.entry_by_name
+
+    def test_a_second_restore_doesnt_count_as_published_again(self, left):
+        # Guards against an upstream in use that left before the first of two restores.
+        copied = replace(ENTRY, revision=at(2, era=3))
+        later = update(revision=at(3, era=3), entries=(copied,))
+        assert not left.merge(later, 2.0).entries
+        assert not left.apply_held_changes(5.5).has_changes
+        assert left.apply_held_changes(6.5).entries == (copied,)
+
+    def test_a_departure_long_before_the_restore_doesnt_count(self, catalog):
+        # Guards against a table of departures that grows for good.
+        removal = UpstreamRemoval(name="up-1", revision=at(8))
+        catalog.merge(update(revision=at(8), removals=(removal,)), 0.0)
+        catalog.apply_held_changes(61.0)
+        changes = catalog.merge(update(revision=at(3, era=2), entries=(self.COPIED,)), 61.0)
+        assert changes.entries == (self.COPIED,)
+
+
 class TestSnapshot:
     def test_a_peer_that_merges_it_has_the_same_view(self, catalog):
         # Guards against a peer that misses removals or routes.
@@ -199,7 +250,7 @@
         reader.merge(own_reading(20, removals=(removal,)), 1.0, hold_removals_until=3.0)
         peer.merge(reader.snapshot(1.0), 1.0)
         assert peer.complete_revision == at(19)
-        reader.apply_held_removals(3.0)
+        reader.apply_held_changes(3.0)
         assert peer.complete_revision < reader.complete_revision == at(20)
         peer.merge(reader.snapshot(3.0), 3.0)
         assert not peer.entry_by_name
--- a/libs/catalog/tests/test_convergence.py
+++ b/libs/catalog/tests/test_convergence.py
@@ -103,7 +103,7 @@
 
     def end_holds(self, process: int) -> None:
         held_until = self.now + STEP_S / 2
-        self.spread(process, self.catalogs[process].apply_held_removals(held_until))
+        self.spread(process, self.catalogs[process].apply_held_changes(held_until))
 
     def list_all(self, reader: int) -> None:
         listed = self.history.entries_at(self.history.revision)
--- a/libs/catalog/tests/test_read_plan.py
+++ b/libs/catalog/tests/test_read_plan.py
@@ -124,7 +124,7 @@
         removal = UpstreamRemoval(name="up-1", revision=at(8))
         plan.on_items(PlatformItems(revision=at(8), removals=(removal,)), 5.0)
         assert "up-1" in catalog.entry_by_name
-        catalog.apply_held_removals(7.3)
+        catalog.apply_held_changes(7.3)
         assert "up-1" not in catalog.entry_by_name
 
     def test_a_removal_without_an_outage_takes_effect_at_once(self, plan, catalog):
@@ -168,5 +168,5 @@
         plan.on_failure(RevisionCompactedError(status=410))
         list_all(plan, replace(ENTRY, revision=at(2, era=2)), revision=at(3, era=2), now=5.0)
         assert set(catalog.entry_by_name) == {"up-1", "up-2"}
-        catalog.apply_held_removals(7.3)
+        catalog.apply_held_changes(7.3)
         assert set(catalog.entry_by_name) == {"up-1"}
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -69,6 +69,8 @@
         if configuration is not None and (update.configuration or update.configuration_change):
             self._routes = RouteIndex(configuration=configuration)
         for entry in update.entries:
+            if self._entry_by_agent.get(entry.address) == entry:
+                continue  # sent again for peers that lack it
             self._warm_up_ends_at_by_name[entry.name] = now + entry.warm_up_left_ms / 1000
         for removal in update.removals:
             self._warm_up_ends_at_by_name.pop(removal.name, None)
--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -146,7 +146,7 @@
             timeout_s = PEER_TIMEOUT_S if link.is_connected else CONNECT_TIMEOUT_S
             if link.is_outgoing and now - link.last_active_at > timeout_s:
                 self._drop_link(link, "silent")
-        applied = self.catalog.apply_held_removals(now)
+        applied = self.catalog.apply_held_changes(now)
         if applied.has_changes:
             self._propagate(applied, None)
         self._connect_seeds(now)
@@ -245,14 +245,16 @@
     def _send_kept_state(
         self, link: _PeerLink, changes: CatalogUpdate, update: CatalogUpdate
     ) -> None:
-        """Tell a peer what this process has kept of entries that the peer has from a copy.
+        """Tell a peer what this process knows of upstreams that the peer has from a copy.
 
         A peer that has just started doesn't know what the platform had confirmed before.
         """
         offered = set(update.entries)
         kept = tuple(entry for entry in changes.entries if entry not in offered)
-        if kept:
-            self._send(link, replace(self.catalog.heartbeat(self._loop.now()), entries=kept))
+        departed = self.catalog.held_departures(update)
+        if kept or departed:
+            heartbeat = self.catalog.heartbeat(self._loop.now())
+            self._send(link, replace(heartbeat, entries=kept, removals=departed))
 
     def _request_snapshot(self, link: _PeerLink, now: float) -> None:
         """Tell a peer with a more complete view what this process has; it answers with its view."""
--- a/libs/forwarding/tests/test_restored_platform.py
+++ b/libs/forwarding/tests/test_restored_platform.py
@@ -26,13 +26,13 @@
         self.platform.put(self.entry(LEAVING))
         self.simulation.run_for(0.5)
 
-    def restore(self, *, outage_s: float = 1.0) -> None:
+    def restore(self, *, outage_s: float = 1.0, settle_s: float = 3.0) -> None:
         """Make the platform unavailable, restore it and let the processes read it."""
         self.platform.is_unresponsive = True
         self.simulation.run_for(outage_s)
         self.platform.restore(self.copy)
         self.platform.is_unresponsive = False
-        self.simulation.run_for(3.0)
+        self.simulation.run_for(settle_s)
 
     def entries(self, address: str):
         """Return the entry of the upstream at ``address`` in the view of each process."""
@@ -152,3 +152,52 @@
         fleet.platform.put(fleet.entry(ADDED))
         fleet.simulation.run_for(3.0)
         assert None not in fleet.entries(ADDED)
+
+
+class TestProcessesStartedSince:
+    """A seed that starts at the restore reads the copy and knows nothing of before."""
+
+    def restart_seed_at_restore(self, fleet):
+        seed = fleet.balancers[0]
+        fleet.platform.is_unresponsive = True
+        fleet.kill(seed)
+        fleet.simulation.run_for(1.0)
+        fleet.platform.restore(fleet.copy)
+        fleet.platform.is_unresponsive = False
+        fleet.start_process(seed)
+        fleet.simulation.run_for(1.5)
+
+    def test_an_upstream_that_left_isnt_used(self, fleet):
+        fleet.lose_changes()
+        fleet.deregister_upstream(LEAVING)
+        fleet.simulation.run_for(0.5)
+        self.restart_seed_at_restore(fleet)
+        assert set(fleet.entries(LEAVING)) == {None}
+
+    def test_an_upstream_that_drains_isnt_ready(self, fleet):
+        fleet.lose_changes()
+        fleet.platform.put(fleet.entry(LEAVING, is_draining=True))
+        fleet.simulation.run_for(0.5)
+        self.restart_seed_at_restore(fleet)
+        assert all(entry.is_draining for entry in fleet.entries(LEAVING))
+
+    def test_an_older_configuration_isnt_in_force(self, fleet):
+        fleet.lose_changes()
+        self.restart_seed_at_restore(fleet)
+        views = [process.view.catalog for process in fleet.process_by_address.values()]
+        assert {view.configuration_version for view in views} == {LOST_CHANGES - 1}
+
+
+class TestAddressGivenToAnotherService:
+    def test_the_copy_doesnt_give_it_back(self, fleet):
+        fleet.lose_changes()
+        fleet.deregister_upstream(LEAVING)
+        new = replace(fleet.entry(LEAVING), name="up-new", service="archive", started_ms=5)
+        fleet.platform.put(new)
+        fleet.simulation.run_for(0.5)
+        fleet.restore(settle_s=1.5)
+        services = {
+            process.directory.entry(LEAVING).service
+            for process in fleet.process_by_address.values()
+        }
+        assert services == {"archive"}
