Keep the flows of a draining upstream at the stop of its agent

Cause: a refused TCP connection was taken for proof that the upstream has ended. A leaving upstream refuses connections before its last flows have ended.

Change: while the upstream is listed as draining, a refused connection resets nothing, and a stopping agent goes on forwarding until its flows have ended or one second before the grace period is over. Once the entry is removed, the flows are reset as before.

Measured: the three new tests of TestAgents fail on the code before.

--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -34,6 +34,7 @@
 from laburnumbridge.flows.peer_datagrams import encode_locations
 from laburnumbridge.forwarding.endpoints import parse_endpoint
 from laburnumbridge.forwarding.flow_search import FlowSearch
+from laburnumbridge.forwarding.forwarding_process import STOP_MARGIN_S
 from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
 from laburnumbridge.forwarding.forwarding_process import flow_text
 from laburnumbridge.forwarding.load_reporter import REPORT_INTERVAL_S
@@ -145,7 +146,8 @@
     def stop(self) -> None:
         """Take no new flow and end within ``STOP_WAIT_S``, or when a running probe ends after that.
 
-        If the probe shows that the upstream has ended, its flows are reset.
+        If the probe shows that the upstream has ended, its flows are reset. Beside an upstream that
+        drains the agent forwards until its flows have ended or the grace period is almost over.
         """
         if not self.begin_stop(
             flows=self._flows.open_flows, busy=self._flows.busy, arriving=self._flows.arriving
@@ -164,6 +166,17 @@
         self._flows.slots = 0 if entry is None else entry.slots
         if update.entries or update.removals:
             self._selector.retain(self.directory.agents)
+        if self._upstream.is_down and not self._has_draining_upstream:
+            self._reset_open_flows()
+
+    @property
+    def _has_draining_upstream(self) -> bool:
+        """True while the upstream beside this agent is listed as draining.
+
+        It refuses new connections before its last flows have ended, so a probe proves nothing.
+        """
+        entry = self.directory.entry(self.settings.address)
+        return entry is not None and entry.is_draining
 
     @property
     def _is_available(self) -> bool:
@@ -486,18 +499,31 @@
             self._hand_over(packet, envelope, "unanswered", now)
         if self.is_stopping and not self._upstream.is_probing:
             stopping_s = now - self.stopping_since
-            unfinished = self._flows.busy + self._flows.arriving
-            if unfinished == 0 or stopping_s > STOP_WAIT_S or self._upstream.is_down:
+            is_complete = self._is_stop_complete(stopping_s)
+            if is_complete or stopping_s > STOP_WAIT_S:
                 self._refuse_held()
+            if is_complete:
                 self.finish()
 
+    def _is_stop_complete(self, stopping_s: float) -> bool:
+        if self._has_draining_upstream and self._flows.open_flows:
+            # No other agent can forward for it.
+            return stopping_s > self.settings.stop_grace_s - STOP_MARGIN_S
+        unfinished = self._flows.busy + self._flows.arriving
+        return unfinished == 0 or stopping_s > STOP_WAIT_S or self._upstream.is_down
+
     def _on_upstream_down(self) -> None:
-        """Reset all open flows of the upstream that has ended."""
+        """Reset all open flows of the upstream that has ended, unless it is only draining."""
         self.log.write(
             Event.UPSTREAM_DOWN,
+            outcome="draining" if self._has_draining_upstream else None,
             upstream=self._upstream_endpoint[0],
             flows=self._flows.open_flows,
         )
+        if not self._has_draining_upstream:
+            self._reset_open_flows()
+
+    def _reset_open_flows(self) -> None:
         for flow in self._flows.opened_at_by_flow():
             record = self._flows.get(flow)
             if record is not None:
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -21,6 +21,7 @@
 from laburnumbridge.flows.peer_datagrams import decode_locations
 from laburnumbridge.flows.peer_datagrams import encode_envelope
 from laburnumbridge.forwarding.endpoints import parse_endpoint
+from laburnumbridge.forwarding.forwarding_process import STOP_MARGIN_S
 from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
 from laburnumbridge.forwarding.forwarding_process import flow_text
 from laburnumbridge.forwarding.service_directory import service_tag
@@ -51,8 +52,6 @@
 second."""
 MIN_STOP_S = 1.2
 """A stop takes at least this long: the fabric drops a balancer only after two failed checks."""
-STOP_MARGIN_S = 1.0
-"""A stop ends this long before the grace period, after which the platform kills the process."""
 UPKEEP_INTERVAL_S = 0.25
 PROBED_AGENTS = 3
 """Agents probed each ``UPKEEP_INTERVAL_S`` while none answers; more than one, since some may be
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -37,6 +37,9 @@
 PAUSE_THRESHOLD_S = 0.2
 """A timer that is later than this is logged: packets of clients have waited for as long."""
 
+STOP_MARGIN_S = 1.0
+"""A stop ends this long before the grace period, after which the platform kills the process."""
+
 
 def flow_text(flow: FlowKey) -> str:
     """Return the id of a flow in logs: ``address:port>address:port`` of client and service."""
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -727,6 +727,49 @@
         assert fleet.lines(Event.FLOW_RESET, "other_service")
         assert not any(upstream.openings for upstream in fleet.upstream_by_address.values())
 
+    def start_drain(self, fleet, *, work_s=1.0):
+        """Return a flow with a running request at an upstream that drains, and its agent."""
+        flow = fleet.open_served_flow(settle_s=0.5)
+        leaving = fleet.holder(flow.key)
+        upstream = fleet.upstream_by_address[leaving]
+        upstream.work_s = work_s
+        flow.request(b"last")
+        fleet.platform.put(fleet.entry(leaving, is_draining=True))
+        fleet.simulation.run_for(0.1)
+        return flow, leaving
+
+    def test_a_stop_beside_a_draining_upstream_that_closed_its_port_cuts_no_answer(self, fleet):
+        # Guards against resets of flows that a leaving upstream still serves: it refuses
+        # connections before its last flows have ended.
+        flow, leaving = self.start_drain(fleet)
+        fleet.upstream_by_address[leaving].refuse_connections()
+        fleet.terminate(leaving)
+        fleet.simulation.run_for(2.0)
+        assert not flow.was_reset
+        assert flow.answers[b"last"] == b"answer to last"
+
+    def test_a_stop_beside_a_draining_upstream_ends_within_the_grace_period(self, fleet):
+        # Guards against an agent that is killed since it waits for a flow that stays open.
+        flow, leaving = self.start_drain(fleet, work_s=60.0)
+        fleet.terminate(leaving)
+        fleet.simulation.run_for(4.0)
+        assert fleet.is_running(leaving)
+        fleet.simulation.run_for(1.2)
+        assert not fleet.is_running(leaving)
+        assert not flow.was_reset
+
+    def test_a_stopping_agent_resets_the_flows_once_its_draining_upstream_has_left(self, fleet):
+        # Guards against clients that wait for their deadline on flows of an upstream that is gone.
+        flow, leaving = self.start_drain(fleet)
+        fleet.upstream_by_address[leaving].crash()
+        fleet.terminate(leaving)
+        fleet.simulation.run_for(0.5)
+        assert not flow.was_reset
+        fleet.deregister_upstream(leaving)
+        fleet.simulation.run_for(0.2)
+        assert flow.was_reset
+        assert not fleet.is_running(leaving)
+
     def test_the_flows_of_an_upstream_that_has_ended_are_reset_at_the_stop(self, fleet):
         # Guards against clients that wait for their deadline after a planned replacement.
         flow = fleet.open_served_flow(settle_s=0.5)
--- a/libs/standins/src/laburnumbridge/standins/flows/upstream_stand_in.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/upstream_stand_in.py
@@ -85,6 +85,10 @@
         self._port.start()
         self._listener.start()
 
+    def refuse_connections(self) -> None:
+        """Refuse TCP connections from now on, and go on with the open flows."""
+        self._listener.close()
+
     def crash(self) -> None:
         """Stop at once, as a crashed process does; unfinished requests get no answer.
 
