Leave the records of handovers after eight hops of a search

Cause: copies of an opening packet that was held or handed over open at two agents, and each copy leaves records of its handovers. Records of two copies may form a cycle, in which the flow's packets circle until they are dropped after 200 hops. Searching by rank, which always ends, was never reached.

Change: records are followed for eight hops; after that the packet goes by the ranking.

Measured: the new test of TestOpeningCopies gets no answer on the code before, and its answer now.

--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -60,6 +60,10 @@
 MAX_HANDOVERS = 3
 """After this many handovers a busy agent takes the opening packet: a fifth agent would hardly be
 free."""
+MAX_RECORD_HOPS = 8
+"""Records of handovers and locations are followed this far: an opening packet is handed over three
+times, and again each time that it has waited. Copies of it go different ways, so that the records
+may form a cycle."""
 DEFAULT_SLOTS = 16
 """Slots assumed until the upstream's entry is received: openings needn't be held back then, since
 the upstream has a queue of its own."""
@@ -392,7 +396,8 @@
             return
         if self._search.drop_after_max_hops(packet, envelope):
             return
-        if envelope.stage is not SearchStage.RANKED_NO_RECORDS:
+        follows_records = envelope.stage is not SearchStage.RANKED_NO_RECORDS
+        if follows_records and envelope.hops < MAX_RECORD_HOPS:
             agent = self._handover_agent_by_flow.get(packet.flow, now)
             if envelope.stage is not SearchStage.RECORDED:
                 agent = agent or self._locations.find(packet.flow, now)
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -20,6 +20,7 @@
 from laburnumbridge.standins.flows.process_settings import PACKET_PORT
 from laburnumbridge.standins.flows.process_settings import PEER_PORT
 from laburnumbridge.standins.flows.process_settings import SERVICE
+from laburnumbridge.standins.flows.process_settings import SERVICE_NAME
 from laburnumbridge.standins.flows.simulated_fleet import CLIENT
 from laburnumbridge.standins.flows.simulated_fleet import SimulatedFleet
 from laburnumbridge.standins.flows.simulation import SimulatedDatagramPort
@@ -886,6 +887,39 @@
         assert all(flow.answers for flow in flows)
 
 
+class TestOpeningCopies:
+    def test_records_of_handovers_that_form_a_cycle_dont_hide_the_flow(self, tmp_path):
+        # Guards against packets of an open flow that circle between agents and never reach its
+        # upstream: copies of its opening packet were handed over along different ways.
+        fleet = SimulatedFleet(directory=tmp_path, agents=4, slots=1, work_s=0.3)
+        fleet.start()
+        flow = fleet.open_served_flow(settle_s=0.5)
+        holder = fleet.holder(flow.key)
+        ring = [agent for agent in fleet.agents if agent != holder]
+        for _ in fleet.agents:
+            fleet.client.open_flow(SERVICE).request(b"busy")
+        fleet.simulation.run_for(0.05)
+        balancer = fleet.process_by_address[fleet.balancers[0]]
+        opening = StandInPacket(flow=flow.key, sequence=0, acknowledged=1, is_opening=True)
+        for index, agent in enumerate(ring):
+            envelope = Envelope(
+                stage=SearchStage.DIRECT,
+                hops=0,
+                service_tag=service_tag(SERVICE_NAME),
+                entry_address=fleet.balancers[0],
+                raw=opening.encode(),
+                tried=(holder, ring[index - 1]),
+            )
+            balancer.peers.send(encode_envelope(envelope), (agent, PEER_PORT))
+        fleet.simulation.run_for(0.05)
+        assert len(fleet.lines(Event.FLOW_HANDED_OVER, "busy")) >= len(ring)
+        fleet.rotation = [fleet.balancers[0]]
+        flow.request(b"second")
+        fleet.simulation.run_for(3.0)
+        assert flow.answers.get(b"second") == b"answer to second"
+        assert not fleet.lines(Event.PACKET_DROPPED, "hops")
+
+
 class TestReturnedPackets:
     def test_a_packet_returned_late_isnt_taken_for_a_newer_delivery(self, fleet, monkeypatch):
         # Guards against a packet that goes on with the service and the way of another flow: the
