Send back only entries that the peer has offered

Cause: an update that makes the view complete has all changes since, so that entries which the peer had not offered were sent back to it as well, once for each such update.

Change: only an entry that the peer offered in another state is sent back.

Measured: no failure was seen; the tests of forwarding and catalog pass.

--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -249,8 +249,12 @@
 
         A peer that has just started doesn't know what the platform had confirmed before.
         """
-        offered = set(update.entries)
-        kept = tuple(entry for entry in changes.entries if entry not in offered)
+        offered_by_name = {entry.name: entry for entry in update.entries}
+        kept = tuple(
+            entry
+            for entry in changes.entries
+            if entry.name in offered_by_name and offered_by_name[entry.name] != entry
+        )
         departed = self.catalog.held_departures(update)
         if kept or departed:
             heartbeat = self.catalog.heartbeat(self._loop.now())
