--- a/libs/standins/src/laburnumbridge/standins/flows/fault_injector.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_injector.py
@@ -13,12 +13,19 @@
     from laburnumbridge.forwarding.network import Loop
     from laburnumbridge.standins.flows.fault_schedule import Fault
     from laburnumbridge.standins.flows.invariant_checks import SoakFindings
+    from laburnumbridge.standins.flows.platform_stand_in import PlatformCopy
     from laburnumbridge.standins.flows.process_fleet import ProcessFleet
 
 DEREGISTRATION_DELAY_S = 1.5
 """How long the entry of a crashed upstream stays registered."""
 DRAIN_DURATION_S = 1.0
 """How long an upstream drains before it stops."""
+COPY_INTERVAL_S = 4.0
+"""How often the platform is copied; a restore loses up to as much."""
+REPUBLISH_DELAY_S = 1.0
+"""How long after a restore the operator and the upstreams have written again."""
+EXPIRY_DELAY_S = 3.6
+"""How long after a restore the entries of upstreams that don't run expire."""
 POLL_INTERVAL_S = 0.1
 
 _PROXY_FAULT = {
@@ -44,6 +51,8 @@
         self._findings = findings
         self._stop_timeout_s = stop_timeout_s
         self._stopped_addresses: set[str] = set()
+        self._copy: PlatformCopy | None = None
+        loop.call_every(COPY_INTERVAL_S, self._copy_platform)
 
     def inject(self, fault: Fault) -> None:
         """Start ``fault`` and schedule its end."""
@@ -67,6 +76,8 @@
             self._loop.call_later(fault.duration_s, self._resume_platform)
         elif fault.kind is FaultKind.PLATFORM_FORGETS:
             self._fleet.platform.compact()
+        elif fault.kind is FaultKind.PLATFORM_RESTORED:
+            self._restore_platform()
         elif fault.kind is FaultKind.CONFIGURE:
             self._fleet.configure()
         elif fault.kind is FaultKind.RELOAD:
@@ -136,6 +147,16 @@
     def _resume_platform(self) -> None:
         self._fleet.platform.is_unresponsive = False
 
+    def _copy_platform(self) -> None:
+        self._copy = self._fleet.platform.copy()
+
+    def _restore_platform(self) -> None:
+        if self._copy is None:
+            return
+        self._fleet.platform.restore(self._copy)
+        self._loop.call_later(REPUBLISH_DELAY_S, self._fleet.republish)
+        self._loop.call_later(EXPIRY_DELAY_S, self._fleet.expire_entries)
+
     def _inject_proxy_fault(self, fault: Fault) -> None:
         proxies = [
             proxy for proxies in self._fleet.proxies_by_address.values() for proxy in proxies
--- a/libs/standins/src/laburnumbridge/standins/flows/fault_schedule.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_schedule.py
@@ -29,6 +29,7 @@
     DRAIN_UPSTREAM = "drain_upstream"
     PLATFORM_SILENT = "platform_silent"
     PLATFORM_FORGETS = "platform_forgets"
+    PLATFORM_RESTORED = "platform_restored"
     CONFIGURE = "configure"
     RELOAD = "reload"
     PROXY_DELAY = "proxy_delay"
--- a/libs/standins/src/laburnumbridge/standins/flows/platform_stand_in.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/platform_stand_in.py
@@ -136,7 +136,7 @@
     def remove(self, name: str) -> None:
         """Remove an entry at a new revision and answer the watches."""
         self.revision += 1
-        del self.entry_by_name[name]
+        self.entry_by_name.pop(name, None)  # a copy may lack it
         self._removals.append(UpstreamRemoval(name=name, revision=self._current))
         self._answer_watches()
 
--- a/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
@@ -126,8 +126,24 @@
     def configure(self) -> None:
         """Publish the next version of the configuration, with one more route."""
         self.version += 1
-        extra_endpoint = ("198.18.0.2", 1_000 + self.version)
-        self.platform.configure(make_configuration(self.version, (SERVICE, extra_endpoint)))
+        self.platform.configure(make_configuration(self.version, self._endpoints))
+
+    def republish(self) -> None:
+        """Write again what the operator and the running upstreams have written."""
+        self.platform.configure(make_configuration(self.version, self._endpoints))
+        for address, upstream in self.upstream_by_address.items():
+            if upstream.is_running:
+                self.register_upstream(address, is_draining=not upstream.accepts)
+
+    def expire_entries(self) -> None:
+        """Remove the entries of upstreams that don't run."""
+        for address, upstream in self.upstream_by_address.items():
+            if not upstream.is_running and entry_name(address) in self.platform.entry_by_name:
+                self.deregister_upstream(address)
+
+    @property
+    def _endpoints(self) -> tuple[Endpoint, ...]:
+        return (SERVICE, ("198.18.0.2", 1_000 + self.version))
 
     def start_upstream(self, address: str) -> None:
         """Start a new upstream at ``address`` and register it."""
