--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -919,6 +919,33 @@
         assert flow.answers.get(b"second") == b"answer to second"
         assert not fleet.lines(Event.PACKET_DROPPED, "hops")
 
+    def test_no_reset_is_sent_for_a_copy_whose_flow_is_open_elsewhere(self, tmp_path):
+        # Guards against open flows that end since an agent refuses a copy that it held: a reset for
+        # an opening has sequence number 0, which a client may take for one of its open flow.
+        fleet = SimulatedFleet(directory=tmp_path, agents=2, slots=1, work_s=0.3)
+        fleet.start()
+        flow = fleet.open_served_flow(settle_s=0.5)
+        holder = fleet.holder(flow.key)
+        [other] = [agent for agent in fleet.agents if agent != holder]
+        for upstream in fleet.upstream_by_address.values():
+            upstream.work_s = 5.0
+        for _ in range(6):
+            fleet.client.open_flow(SERVICE).request(b"busy")
+        fleet.simulation.run_for(0.05)
+        opening = StandInPacket(flow=flow.key, sequence=0, acknowledged=1, is_opening=True)
+        envelope = Envelope(
+            stage=SearchStage.DIRECT,
+            hops=0,
+            service_tag=service_tag(SERVICE_NAME),
+            entry_address=fleet.balancers[0],
+            raw=opening.encode(),
+            tried=(holder,),
+        )
+        balancer = fleet.process_by_address[fleet.balancers[0]]
+        balancer.peers.send(encode_envelope(envelope), (other, PEER_PORT))
+        fleet.simulation.run_for(2.0)
+        assert not flow.was_reset
+
 
 class TestReturnedPackets:
     def test_a_packet_returned_late_isnt_taken_for_a_newer_delivery(self, fleet, monkeypatch):
