Share the set-up of the tests of opening copies

Cause: both tests built the same fleet and packets.

Change: one method each for the fleet beside busy agents and for a copy; the checks stay.

--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -888,31 +888,42 @@
 
 
 class TestOpeningCopies:
-    def test_records_of_handovers_that_form_a_cycle_dont_hide_the_flow(self, tmp_path):
-        # Guards against packets of an open flow that circle between agents and never reach its
-        # upstream: copies of its opening packet were handed over along different ways.
-        fleet = SimulatedFleet(directory=tmp_path, agents=4, slots=1, work_s=0.3)
+    def open_flow_beside_busy_agents(self, tmp_path, *, agents, work_s):
+        """Return a fleet with an open flow whose upstream and all others have no free slot."""
+        fleet = SimulatedFleet(directory=tmp_path, agents=agents, slots=1, work_s=0.3)
         fleet.start()
         flow = fleet.open_served_flow(settle_s=0.5)
-        holder = fleet.holder(flow.key)
-        ring = [agent for agent in fleet.agents if agent != holder]
-        for _ in fleet.agents:
+        for upstream in fleet.upstream_by_address.values():
+            upstream.work_s = work_s
+        for _ in range(3 * agents):
             fleet.client.open_flow(SERVICE).request(b"busy")
         fleet.simulation.run_for(0.05)
-        balancer = fleet.process_by_address[fleet.balancers[0]]
+        return fleet, flow, fleet.holder(flow.key)
+
+    def send_copy(self, fleet, flow, agent, *, tried):
+        """Send a copy of the opening packet of ``flow`` to ``agent``."""
         opening = StandInPacket(flow=flow.key, sequence=0, acknowledged=1, is_opening=True)
+        envelope = Envelope(
+            stage=SearchStage.DIRECT,
+            hops=0,
+            service_tag=service_tag(SERVICE_NAME),
+            entry_address=fleet.balancers[0],
+            raw=opening.encode(),
+            tried=tried,
+        )
+        balancer = fleet.process_by_address[fleet.balancers[0]]
+        balancer.peers.send(encode_envelope(envelope), (agent, PEER_PORT))
+
+    def test_records_of_handovers_that_form_a_cycle_dont_hide_the_flow(self, tmp_path):
+        # Guards against packets of an open flow that circle between agents and never reach its
+        # upstream: copies of its opening packet were handed over along different ways.
+        fleet, flow, holder = self.open_flow_beside_busy_agents(tmp_path, agents=4, work_s=0.3)
+        ring = [agent for agent in fleet.agents if agent != holder]
+        before = len(fleet.lines(Event.FLOW_HANDED_OVER, "busy"))
         for index, agent in enumerate(ring):
-            envelope = Envelope(
-                stage=SearchStage.DIRECT,
-                hops=0,
-                service_tag=service_tag(SERVICE_NAME),
-                entry_address=fleet.balancers[0],
-                raw=opening.encode(),
-                tried=(holder, ring[index - 1]),
-            )
-            balancer.peers.send(encode_envelope(envelope), (agent, PEER_PORT))
+            self.send_copy(fleet, flow, agent, tried=(holder, ring[index - 1]))
         fleet.simulation.run_for(0.05)
-        assert len(fleet.lines(Event.FLOW_HANDED_OVER, "busy")) >= len(ring)
+        assert len(fleet.lines(Event.FLOW_HANDED_OVER, "busy")) >= before + len(ring)
         fleet.rotation = [fleet.balancers[0]]
         flow.request(b"second")
         fleet.simulation.run_for(3.0)
@@ -922,27 +933,9 @@
     def test_no_reset_is_sent_for_a_copy_whose_flow_is_open_elsewhere(self, tmp_path):
         # Guards against open flows that end since an agent refuses a copy that it held: a reset for
         # an opening has sequence number 0, which a client may take for one of its open flow.
-        fleet = SimulatedFleet(directory=tmp_path, agents=2, slots=1, work_s=0.3)
-        fleet.start()
-        flow = fleet.open_served_flow(settle_s=0.5)
-        holder = fleet.holder(flow.key)
+        fleet, flow, holder = self.open_flow_beside_busy_agents(tmp_path, agents=2, work_s=5.0)
         [other] = [agent for agent in fleet.agents if agent != holder]
-        for upstream in fleet.upstream_by_address.values():
-            upstream.work_s = 5.0
-        for _ in range(6):
-            fleet.client.open_flow(SERVICE).request(b"busy")
-        fleet.simulation.run_for(0.05)
-        opening = StandInPacket(flow=flow.key, sequence=0, acknowledged=1, is_opening=True)
-        envelope = Envelope(
-            stage=SearchStage.DIRECT,
-            hops=0,
-            service_tag=service_tag(SERVICE_NAME),
-            entry_address=fleet.balancers[0],
-            raw=opening.encode(),
-            tried=(holder,),
-        )
-        balancer = fleet.process_by_address[fleet.balancers[0]]
-        balancer.peers.send(encode_envelope(envelope), (other, PEER_PORT))
+        self.send_copy(fleet, flow, other, tried=(holder,))
         fleet.simulation.run_for(2.0)
         assert not flow.was_reset
 
