Add review case 2: flows are reset after their route moved to another service

Cause: a flow that a balancer doesn't know is searched among the agents of the service that its route names now. Change: a script that moves a route while flows are open, and restarts the balancers one by one.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,65 @@
+"""A route moves to another service while flows are open, and balancers restart one by one."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
+
+from review.standins.fleet import CONFIG_S, WINDOW_S, Fleet, route, run_case  # noqa: E402
+
+HOST = "127.0.200.1"
+FLOWS = 60
+PAUSE_S = 0.5
+TARGET_BY_VARIANT = {
+    "service": {"service": "archive"},
+    "weights": {"split": {"desk": 10, "archive": 90}},
+}
+
+
+async def use(flow, fleet, stop: asyncio.Event) -> None:
+    """Send a request on the open flow, wait for the answer, pause, and so on."""
+    while not stop.is_set() and flow.outcome is None:
+        answered = len(flow.answers)
+        flow.request(method="GET")
+        await flow.wait(lambda: len(flow.answers) > answered, 10.0)
+        await asyncio.sleep(PAUSE_S)
+
+
+async def case(record, trouble: bool) -> list[str]:
+    fleet = Fleet(record=record, services={"desk": 3, "archive": 2}, balancers=4)
+    variant = os.environ.get("VARIANT", "service")
+    broken = []
+    try:
+        before = {"service": "desk"} if variant == "service" else {"split": {"desk": 90, "archive": 10}}
+        fleet.configure([route("r-desk", HOST, 443, kind="safe", **before)])
+        await fleet.start()
+        flows = [fleet.clients.open(HOST, 443) for _ in range(FLOWS)]
+        stop = asyncio.Event()
+        for flow in flows:
+            assert await flow.wait(lambda flow=flow: flow.is_open, 2.0), "a flow didn't open"
+        users = [asyncio.create_task(use(flow, fleet, stop)) for flow in flows]
+        await asyncio.sleep(WINDOW_S)
+        if trouble:
+            fleet.configure([route("r-desk", HOST, 443, kind="safe", **TARGET_BY_VARIANT[variant])])
+        await asyncio.sleep(CONFIG_S + 1.0)
+        for address in fleet.balancer_addresses:
+            await fleet.nodes[address].restart()
+            await asyncio.sleep(1.2)
+        await asyncio.sleep(3.0)
+        stop.set()
+        for flow in flows:
+            if flow.outcome is not None:
+                broken.append(f"FLOW: the flow from port {flow.port} was {flow.outcome}")
+        for user in users:
+            user.cancel()
+    finally:
+        fleet.close()
+    return broken
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(case, Path(__file__).parent))
