--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""An incomplete entry for the address of a draining backend brings it new flows."""
+"""An entry of a service that isn't configured hides the backend on the same machine."""
 
 from __future__ import annotations
 
@@ -9,49 +9,56 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.standins.fleet import DRAIN_S, ZONE, Fleet, route, run_case  # noqa: E402
+from review.standins.fleet import WINDOW_S, ZONE, Fleet, route, run_case  # noqa: E402
 
 HOST = "127.0.200.1"
-DRAINING_S = 12.0
+FLOWS = 60
+PAUSE_S = 0.5
 
 
-async def attempt(fleet) -> tuple[float, str]:
-    """Open a flow and send one request; return when it was sent and the backend that ran it."""
-    flow = fleet.clients.open(HOST, 443)
-    if await flow.wait(lambda: flow.is_open, 1.5):
-        flow.request(body=b"x" * 900)
-        await flow.wait(lambda: bool(flow.answers), 3.0)
-        flow.finish()
-    return flow.sent_at, flow.answers[0][2] if flow.answers else ""
+async def use(flow, stop: asyncio.Event) -> None:
+    """Send a request on the open flow, wait for the answer, pause, and so on."""
+    while not stop.is_set() and flow.outcome is None:
+        answered = len(flow.answers)
+        flow.request(method="GET")
+        await flow.wait(lambda: len(flow.answers) > answered, 10.0)
+        await asyncio.sleep(PAUSE_S)
 
 
 async def case(record, trouble: bool) -> list[str]:
-    fleet = Fleet(record=record, services={"desk": 3})
+    fleet = Fleet(record=record, services={"desk": 3}, balancers=4)
     broken = []
     try:
-        fleet.configure([route("r-desk", HOST, 443, service="desk")])
+        fleet.configure([route("r-desk", HOST, 443, service="desk", kind="safe")])
         await fleet.start()
-        loop = asyncio.get_running_loop()
-        address = fleet.agent_addresses[0]
-        draining = fleet.backends[address]
-        drained_at = draining.drain()
-        await asyncio.sleep(1.0)
+        flows = [fleet.clients.open(HOST, 443) for _ in range(FLOWS)]
+        stop = asyncio.Event()
+        for flow in flows:
+            assert await flow.wait(lambda flow=flow: flow.is_open, 2.0), "a flow didn't open"
+        users = [asyncio.create_task(use(flow, stop)) for flow in flows]
+        await asyncio.sleep(WINDOW_S)
         if trouble:
-            # Without version, warmup_left_ms, seq and born.
             entry = {
-                "service": "desk", "address": f"{address}:{fleet.ports['app']}", "zone": ZONE,
-                "slots": 4, "state": "ready",
+                "service": "exporter", "address": f"{fleet.agent_addresses[0]}:9100", "zone": ZONE,
+                "version": "v1", "slots": 1, "state": "ready", "warmup_left_ms": 0, "seq": 1,
             }
             fleet.store.put("servers/other-writer", json.dumps(entry).encode())
             record("foreign-entry", json.dumps(entry))
-        await asyncio.sleep(DRAIN_S)
-        while loop.time() < drained_at + DRAINING_S:
-            for sent_at, backend in await asyncio.gather(*(attempt(fleet) for _ in range(4))):
-                if backend == draining.name:
-                    broken.append(
-                        f"DRAIN: sent {sent_at - drained_at:.1f} s after the acknowledgement that "
-                        f"{backend} drains, and run by it"
-                    )
+        await asyncio.sleep(WINDOW_S)
+        for address in fleet.balancer_addresses:
+            await fleet.nodes[address].restart()
+            await asyncio.sleep(1.2)
+        await asyncio.sleep(3.0)
+        stop.set()
+        for flow in flows:
+            if flow.outcome is not None:
+                backend = {answer[2] for answer in flow.answers}
+                broken.append(
+                    f"FLOW: the flow from port {flow.port} at {', '.join(backend)} was "
+                    f"{flow.outcome}"
+                )
+        for user in users:
+            user.cancel()
     finally:
         fleet.close()
     return broken
