--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." && exec python3 review/1/case.py
+# With TROUBLE=0 the case does the same without the disruption.
+cd "$(dirname "$0")/../.." && TROUBLE="${TROUBLE:-1}" exec python3 review/1/case.py
