--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,11 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.standins.fleet import CONFIG_S, DRAIN_S, Fleet, route, run_case  # noqa: E402
+from review.standins.fleet import CONFIG_S
+from review.standins.fleet import DRAIN_S
+from review.standins.fleet import Fleet
+from review.standins.fleet import route
+from review.standins.fleet import run_case
 
 HOST = "127.0.200.1"
 ENTRY_BY_VARIANT = {
@@ -57,7 +61,10 @@
 
         # A new version moves the route to another service, and adds a route.
         moved_at = fleet.configure(
-            [route("r-desk", HOST, 443, service="archive"), route("r-new", HOST, 8443, service="desk")]
+            [
+                route("r-desk", HOST, 443, service="archive"),
+                route("r-new", HOST, 8443, service="desk"),
+            ]
         )
         await asyncio.sleep(CONFIG_S + 1.0)
         for _ in range(10):
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,18 +9,23 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.standins.fleet import CONFIG_S, WINDOW_S, Fleet, route, run_case  # noqa: E402
+from review.standins.fleet import CONFIG_S
+from review.standins.fleet import WINDOW_S
+from review.standins.fleet import Fleet
+from review.standins.fleet import route
+from review.standins.fleet import run_case
 
 HOST = "127.0.200.1"
 FLOWS = 60
 PAUSE_S = 0.5
+RESET_WHILE_OPEN = "reset by system while open"
 TARGET_BY_VARIANT = {
     "service": {"service": "archive"},
     "weights": {"split": {"desk": 10, "archive": 90}},
 }
 
 
-async def use(flow, fleet, stop: asyncio.Event) -> None:
+async def use(flow, stop: asyncio.Event) -> None:
     """Send a request on the open flow, wait for the answer, pause, and so on."""
     while not stop.is_set() and flow.outcome is None:
         answered = len(flow.answers)
@@ -34,14 +39,16 @@
     variant = os.environ.get("VARIANT", "service")
     broken = []
     try:
-        before = {"service": "desk"} if variant == "service" else {"split": {"desk": 90, "archive": 10}}
+        before = (
+            {"service": "desk"} if variant == "service" else {"split": {"desk": 90, "archive": 10}}
+        )
         fleet.configure([route("r-desk", HOST, 443, kind="safe", **before)])
         await fleet.start()
         flows = [fleet.clients.open(HOST, 443) for _ in range(FLOWS)]
         stop = asyncio.Event()
         for flow in flows:
             assert await flow.wait(lambda flow=flow: flow.is_open, 2.0), "a flow didn't open"
-        users = [asyncio.create_task(use(flow, fleet, stop)) for flow in flows]
+        users = [asyncio.create_task(use(flow, stop)) for flow in flows]
         await asyncio.sleep(WINDOW_S)
         if trouble:
             fleet.configure([route("r-desk", HOST, 443, kind="safe", **TARGET_BY_VARIANT[variant])])
@@ -52,7 +59,7 @@
         await asyncio.sleep(3.0)
         stop.set()
         for flow in flows:
-            if flow.outcome is not None:
+            if flow.answers and flow.outcome == RESET_WHILE_OPEN:
                 broken.append(f"FLOW: the flow from port {flow.port} was {flow.outcome}")
         for user in users:
             user.cancel()
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,11 +9,16 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.standins.fleet import WINDOW_S, ZONE, Fleet, route, run_case  # noqa: E402
+from review.standins.fleet import WINDOW_S
+from review.standins.fleet import ZONE
+from review.standins.fleet import Fleet
+from review.standins.fleet import route
+from review.standins.fleet import run_case
 
 HOST = "127.0.200.1"
 FLOWS = 60
 PAUSE_S = 0.5
+RESET_WHILE_OPEN = "reset by system while open"
 
 
 async def use(flow, stop: asyncio.Event) -> None:
@@ -39,8 +44,14 @@
         await asyncio.sleep(WINDOW_S)
         if trouble:
             entry = {
-                "service": "exporter", "address": f"{fleet.agent_addresses[0]}:9100", "zone": ZONE,
-                "version": "v1", "slots": 1, "state": "ready", "warmup_left_ms": 0, "seq": 1,
+                "service": "exporter",
+                "address": f"{fleet.agent_addresses[0]}:9100",
+                "zone": ZONE,
+                "version": "v1",
+                "slots": 1,
+                "state": "ready",
+                "warmup_left_ms": 0,
+                "seq": 1,
             }
             fleet.store.put("servers/other-writer", json.dumps(entry).encode())
             record("foreign-entry", json.dumps(entry))
@@ -51,7 +62,7 @@
         await asyncio.sleep(3.0)
         stop.set()
         for flow in flows:
-            if flow.outcome is not None:
+            if flow.answers and flow.outcome == RESET_WHILE_OPEN:
                 backend = {answer[2] for answer in flow.answers}
                 broken.append(
                     f"FLOW: the flow from port {flow.port} at {', '.join(backend)} was "
--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -7,7 +7,14 @@
 import random
 import time
 
-from review.standins.packets import ACK, BOUNCED, FIN, MODULUS, RST, SYN, Packet, bounced
+from review.standins.packets import ACK
+from review.standins.packets import BOUNCED
+from review.standins.packets import FIN
+from review.standins.packets import MODULUS
+from review.standins.packets import RST
+from review.standins.packets import SYN
+from review.standins.packets import Packet
+from review.standins.packets import bounced
 from review.standins.stream import End
 
 HEARTBEAT_S = 1.2
@@ -16,18 +23,21 @@
 
 
 class Backend(asyncio.DatagramProtocol):
-    def __init__(self, *, name, service, address, output, zone, store, record, slots=4,
-                 work_s=0.05) -> None:
+    def __init__(
+        self, *, name, service, address, output, zone, store, record, slots=4, work_s=0.05
+    ) -> None:
         self.name, self.service, self.address = name, service, address
         self._output, self._zone, self._store, self._record = output, zone, store, record
         self._slots, self._work_s = slots, work_s
         self._busy = 0
         self._waiting: list[tuple[_Flow, str]] = []
         self.flows: dict[tuple[str, int], _Flow] = {}
-        self._ended: set[tuple[str, int]] = set()
+        self.ended: dict[tuple[str, int], float] = {}
         self.is_draining = False
         self._seq = 0
         self._born = int(time.time() * 1000)
+        # Time, flow and whether it is open here, of each packet but the opening ones.
+        self.arrivals: list[tuple[float, tuple[str, int], bool]] = []
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
@@ -48,10 +58,15 @@
 
     def entry(self) -> dict:
         return {
-            "service": self.service, "address": f"{self.address[0]}:{self.address[1]}",
-            "zone": self._zone, "version": "v1", "slots": self._slots,
-            "state": "draining" if self.is_draining else "ready", "warmup_left_ms": 0,
-            "seq": self._seq, "born": self._born,
+            "service": self.service,
+            "address": f"{self.address[0]}:{self.address[1]}",
+            "zone": self._zone,
+            "version": "v1",
+            "slots": self._slots,
+            "state": "draining" if self.is_draining else "ready",
+            "warmup_left_ms": 0,
+            "seq": self._seq,
+            "born": self._born,
         }
 
     def publish(self) -> float:
@@ -106,8 +121,10 @@
             if not flow.is_open:
                 flow.answer_opening()
             return
-        if flow is None or (not flow.is_open and packet.ack != flow.expected_ack):
-            if key in self._ended:
+        is_own = flow is not None and (flow.is_open or packet.ack == flow.expected_ack)
+        self.arrivals.append((asyncio.get_running_loop().time(), key, is_own))
+        if not is_own:
+            if key in self.ended:
                 self._answer_ended(packet)
                 return
             self.send_raw(bounced(raw))
@@ -119,8 +136,13 @@
             return
         flags = ACK if packet.flags & FIN else RST
         answer = Packet(
-            flags=flags, src=packet.dst, sport=packet.dport, dst=packet.src, dport=packet.sport,
-            seq=packet.ack, ack=(packet.seq + packet.length) % MODULUS,
+            flags=flags,
+            src=packet.dst,
+            sport=packet.dport,
+            dst=packet.src,
+            dport=packet.sport,
+            seq=packet.ack,
+            ack=(packet.seq + packet.length) % MODULUS,
         )
         self.send_raw(answer.encode())
 
@@ -130,7 +152,7 @@
     def end_flow(self, key: tuple[str, int]) -> None:
         flow = self.flows.pop(key, None)
         if flow is not None:
-            self._ended.add(key)
+            self.ended[key] = asyncio.get_running_loop().time()
             flow.close()
 
     def submit(self, flow: _Flow, request_id: str) -> None:
@@ -165,8 +187,13 @@
     def answer_opening(self) -> None:
         opening = self._opening
         answer = Packet(
-            flags=SYN | ACK, src=opening.dst, sport=opening.dport, dst=opening.src,
-            dport=opening.sport, seq=self._first_seq, ack=(opening.seq + 1) % MODULUS,
+            flags=SYN | ACK,
+            src=opening.dst,
+            sport=opening.dport,
+            dst=opening.src,
+            dport=opening.sport,
+            seq=self._first_seq,
+            ack=(opening.seq + 1) % MODULUS,
         )
         self._backend.send_raw(answer.encode())
 
@@ -183,10 +210,13 @@
             opening = self._opening
             self._backend._record("open", self._backend.name, self._backend.service, self.key[1])
             self._end = End(
-                address=(opening.dst, opening.dport), peer=self.key, seq=self.expected_ack,
+                address=(opening.dst, opening.dport),
+                peer=self.key,
+                seq=self.expected_ack,
                 ack=(opening.seq + 1) % MODULUS,
                 send=lambda sent: self._backend.send_raw(sent.encode()),
-                on_data=self._on_data, on_end=lambda _: self._backend.end_flow(self.key),
+                on_data=self._on_data,
+                on_end=lambda _: self._backend.end_flow(self.key),
             )
         self._end.receive(packet)
 
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -7,7 +7,11 @@
 import random
 import zlib
 
-from review.standins.packets import ACK, MODULUS, RST, SYN, Packet, distance
+from review.standins.packets import MODULUS
+from review.standins.packets import RST
+from review.standins.packets import SYN
+from review.standins.packets import Packet
+from review.standins.packets import distance
 from review.standins.stream import End
 
 COPIES_S = (0.0, 0.2, 0.6)
@@ -23,7 +27,7 @@
     def __init__(self, *, nodes: list[str], ready_port: int, packet_port: int, record) -> None:
         self._nodes, self._ready_port, self._packet_port = nodes, ready_port, packet_port
         self._record = record
-        self._misses = {node: MISSES for node in nodes}
+        self._misses = dict.fromkeys(nodes, MISSES)
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -137,8 +141,13 @@
     def _send_opening(self, number: int) -> None:
         self._clients.send(
             Packet(
-                flags=SYN, src=self._clients.address[0], sport=self.port, dst=self.service[0],
-                dport=self.service[1], seq=self._first_seq, ack=number,
+                flags=SYN,
+                src=self._clients.address[0],
+                sport=self.port,
+                dst=self.service[0],
+                dport=self.service[1],
+                seq=self._first_seq,
+                ack=number,
             )
         )
 
@@ -181,9 +190,13 @@
         self.opened_at = asyncio.get_running_loop().time()
         self._clients._record("opened-at-client", self.port)
         self._end = End(
-            address=(self._clients.address[0], self.port), peer=self.service,
-            seq=(self._first_seq + 1) % MODULUS, ack=(packet.seq + 1) % MODULUS,
-            send=self._clients.send, on_data=self._on_data, on_end=self._end_flow,
+            address=(self._clients.address[0], self.port),
+            peer=self.service,
+            seq=(self._first_seq + 1) % MODULUS,
+            ack=(packet.seq + 1) % MODULUS,
+            send=self._clients.send,
+            on_data=self._on_data,
+            on_end=self._end_flow,
         )
         self.changed.set()
         self._end.send_ack()
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -18,7 +18,8 @@
 from pathlib import Path
 
 from review.standins.backend import Backend
-from review.standins.client import Clients, Router
+from review.standins.client import Clients
+from review.standins.client import Router
 from review.standins.store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -27,10 +28,20 @@
 DRAIN_S, CONFIG_S, WINDOW_S = 3.0, 3.0, 4.0
 """``drain_ms``, ``config_apply_ms`` and ``stability_window_ms`` of the site."""
 BOUNDS = {
-    "seed_lag_s": 3, "addr_reuse_s": 2, "stability_window_ms": 4000, "ack_ms": 5000,
-    "catch_up_s": 4, "drain_ms": 3000, "grace_s": 6, "loss_slack_ms": 200,
-    "config_apply_ms": 3000, "rollback_slack_ms": 250, "partition_max_ms": 12000,
-    "recovery_s": 12, "flow_ms": 2000, "flow_max_s": 60,
+    "seed_lag_s": 3,
+    "addr_reuse_s": 2,
+    "stability_window_ms": 4000,
+    "ack_ms": 5000,
+    "catch_up_s": 4,
+    "drain_ms": 3000,
+    "grace_s": 6,
+    "loss_slack_ms": 200,
+    "config_apply_ms": 3000,
+    "rollback_slack_ms": 250,
+    "partition_max_ms": 12000,
+    "recovery_s": 12,
+    "flow_ms": 2000,
+    "flow_max_s": 60,
 }
 
 
@@ -67,12 +78,18 @@
         self.process: subprocess.Popen | None = None
 
     def start(self) -> None:
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+        }
         environment["LABURNUMBRIDGE_BOOT"] = str(self._settings)
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         with self._log.open("ab") as log:
             self.process = subprocess.Popen(
-                self._command, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log,
+                self._command,
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
                 stderr=log,
             )
         self._record("node-start", self.role, self.address)
@@ -108,8 +125,15 @@
 class Fleet:
     """A small deployment: balancers (the first three are seeds), agents, backends, clients."""
 
-    def __init__(self, *, record, services: dict[str, int], balancers: int = 3, slots: int = 4,
-                 work_s: float = 0.05) -> None:
+    def __init__(
+        self,
+        *,
+        record,
+        services: dict[str, int],
+        balancers: int = 3,
+        slots: int = 4,
+        work_s: float = 0.05,
+    ) -> None:
         self.record = record
         self.folder = Path(tempfile.mkdtemp())
         prefix = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
@@ -122,8 +146,10 @@
         self.balancer_addresses = nodes[:balancers]
         self.agent_addresses = nodes[balancers:]
         self.router = Router(
-            nodes=self.balancer_addresses, ready_port=self.ports["ready"],
-            packet_port=self.ports["packet"], record=record,
+            nodes=self.balancer_addresses,
+            ready_port=self.ports["ready"],
+            packet_port=self.ports["packet"],
+            record=record,
         )
         self.clients = Clients(
             address=(client_host, self.ports["packet"]), router=self.router, record=record
@@ -138,9 +164,15 @@
         ):
             self.nodes[address] = self._node("agent", address, service)
             self.backends[address] = Backend(
-                name=f"i-{number}{random.getrandbits(24):06x}", service=service,
-                address=(address, self.ports["app"]), output=(address, self.ports["outbound"]),
-                zone=ZONE, store=self.store, record=record, slots=slots, work_s=work_s,
+                name=f"i-{number}{random.getrandbits(24):06x}",
+                service=service,
+                address=(address, self.ports["app"]),
+                output=(address, self.ports["outbound"]),
+                zone=ZONE,
+                store=self.store,
+                record=record,
+                slots=slots,
+                work_s=work_s,
             )
         self.version = 0
 
@@ -148,11 +180,17 @@
         ports = self.ports
         settings: dict = {
             "node_name": f"{'edge' if service is None else 'side'}-{ZONE}-{address}",
-            "role": role, "machine_class": "edge" if service is None else "side",
-            "ip": address, "zone": ZONE, "region": "perth",
+            "role": role,
+            "machine_class": "edge" if service is None else "side",
+            "ip": address,
+            "zone": ZONE,
+            "region": "perth",
             "internal_port_range": [ports["peer"], ports["peer"]],
             "seeds": [f"{seed}:{ports['control']}" for seed in self.balancer_addresses[:3]],
-            "bootstrap": True, "hash": "mod", "proxy_mode": "agent", "bounds": BOUNDS,
+            "bootstrap": True,
+            "hash": "mod",
+            "proxy_mode": "agent",
+            "bounds": BOUNDS,
             "listen": {
                 "datagram_addr": f"{address}:{ports['packet']}",
                 "ready": f"{address}:{ports['ready']}",
@@ -173,13 +211,24 @@
         self.version += random.randint(1, 3)
         services = sorted({backend.service for backend in self.backends.values()})
         body = {
-            "version": self.version, "routes": routes,
+            "version": self.version,
+            "routes": routes,
             "services": [
-                {"name": name, "health_path": "/healthz", "max_conns": 2000, "protocol": "h1",
-                 "tls": False} for name in services
+                {
+                    "name": name,
+                    "health_path": "/healthz",
+                    "max_conns": 2000,
+                    "protocol": "h1",
+                    "tls": False,
+                }
+                for name in services
             ],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
-                       "header_timeout_ms": 3000, "idle_timeout_ms": idle_timeout_ms},
+            "limits": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 262144,
+                "header_timeout_ms": 3000,
+                "idle_timeout_ms": idle_timeout_ms,
+            },
         }
         at = self.store.put("op/config", json.dumps(body).encode())
         targets = [f"{route['name']}>{route.get('service', 'split')}" for route in routes]
@@ -219,15 +268,31 @@
         shutil.rmtree(self.folder)
 
 
-def route(name: str, host: str, port: int, *, service: str | None = None, kind: str = "unsafe",
-          split: dict[str, int] | None = None) -> dict:
+def route(
+    name: str,
+    host: str,
+    port: int,
+    *,
+    service: str | None = None,
+    kind: str = "unsafe",
+    split: dict[str, int] | None = None,
+) -> dict:
     """Return a route as the operator writes it."""
-    target = {"service": service} if split is None else {
-        "traffic_split": [{"service": s, "weight": w} for s, w in split.items()]
-    }
+    target = (
+        {"service": service}
+        if split is None
+        else {"traffic_split": [{"service": s, "weight": w} for s, w in split.items()]}
+    )
     return {
-        "name": name, "host": host, "prefix": f"/{port}/", "type": kind, "timeout_ms": 3000,
-        "target_latency_ms": 333, "priority": 1, "attempts": 2, **target,
+        "name": name,
+        "host": host,
+        "prefix": f"/{port}/",
+        "type": kind,
+        "timeout_ms": 3000,
+        "target_latency_ms": 333,
+        "priority": 1,
+        "attempts": 2,
+        **target,
     }
 
 
--- a/review/standins/packets.py
+++ b/review/standins/packets.py
@@ -43,8 +43,17 @@
     def encode(self) -> bytes:
         self.sum = self._sum()
         head = HEADER.pack(
-            self.flags, b"\0\0\0", self.sum, pack_ip(self.dst), self.sport, pack_ip(self.src),
-            self.dport, self.echo, self.seq, self.ack, len(self.data),
+            self.flags,
+            b"\0\0\0",
+            self.sum,
+            pack_ip(self.dst),
+            self.sport,
+            pack_ip(self.src),
+            self.dport,
+            self.echo,
+            self.seq,
+            self.ack,
+            len(self.data),
         )
         return head + self.data
 
@@ -64,8 +73,16 @@
         if len(data) != length:
             raise ValueError("length")
         return cls(
-            flags=flags, src=socket.inet_ntoa(src), sport=sport, dst=socket.inet_ntoa(dst),
-            dport=dport, seq=seq, ack=ack, data=data, echo=echo, sum=total,
+            flags=flags,
+            src=socket.inet_ntoa(src),
+            sport=sport,
+            dst=socket.inet_ntoa(dst),
+            dport=dport,
+            seq=seq,
+            ack=ack,
+            data=data,
+            echo=echo,
+            sum=total,
         )
 
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -5,7 +5,8 @@
 import asyncio
 import base64
 import json
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
 
 ANSWER_S = 0.004
 HISTORY_S = 20.0
@@ -36,8 +37,11 @@
         self.revision += 1
         created = self._items.get(key, {}).get("created", self.revision)
         item = {
-            "key": key, "value": base64.b64encode(value).decode(), "revision": self.revision,
-            "created": created, "lease": 0,
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "created": created,
+            "lease": 0,
         }
         self._items[key] = item
         return self._note(item)
@@ -87,7 +91,8 @@
             keys = [key for key in keys if key > query.get("after", "")]
             return 200, {
                 "items": [self._items[key] for key in keys[:PAGE_ITEMS]],
-                "has_more": len(keys) > PAGE_ITEMS, "current_rev": self.revision,
+                "has_more": len(keys) > PAGE_ITEMS,
+                "current_rev": self.revision,
             }
         if parts.path != "/kv-watch":
             return 404, {}
@@ -97,7 +102,8 @@
             if after < self._oldest or after > self.revision:
                 return 410, {}
             events = [
-                event for _, event in self._events
+                event
+                for _, event in self._events
                 if event["revision"] > after and event["key"].startswith(prefix)
             ]
             left_s = until - loop.time()
--- a/review/standins/stream.py
+++ b/review/standins/stream.py
@@ -5,7 +5,12 @@
 import asyncio
 from collections.abc import Callable
 
-from review.standins.packets import ACK, FIN, MAX_DATA, MODULUS, Packet, distance
+from review.standins.packets import ACK
+from review.standins.packets import FIN
+from review.standins.packets import MAX_DATA
+from review.standins.packets import MODULUS
+from review.standins.packets import Packet
+from review.standins.packets import distance
 
 WINDOW = 16
 FIRST_RETRY_S = 0.2
@@ -17,9 +22,16 @@
     """Sends bytes as packets, at most 16 in flight, and delivers received bytes in order."""
 
     def __init__(
-        self, *, address: tuple[str, int], peer: tuple[str, int], seq: int, ack: int,
-        send: Callable[[Packet], None], on_data: Callable[[bytes], None],
-        on_end: Callable[[str], None], max_retries: int = 8,
+        self,
+        *,
+        address: tuple[str, int],
+        peer: tuple[str, int],
+        seq: int,
+        ack: int,
+        send: Callable[[Packet], None],
+        on_data: Callable[[bytes], None],
+        on_end: Callable[[str], None],
+        max_retries: int = 8,
     ) -> None:
         self.address, self.peer = address, peer
         self.next_seq, self.ack = seq, ack
@@ -53,8 +65,14 @@
 
     def _packet(self, flags: int, data: bytes = b"") -> Packet:
         return Packet(
-            flags=flags, src=self.address[0], sport=self.address[1], dst=self.peer[0],
-            dport=self.peer[1], seq=self.next_seq, ack=self.ack, data=data,
+            flags=flags,
+            src=self.address[0],
+            sport=self.address[1],
+            dst=self.peer[0],
+            dport=self.peer[1],
+            seq=self.next_seq,
+            ack=self.ack,
+            data=data,
         )
 
     def _pump(self) -> None:
