Keep reading the store after an item that can't be decoded

Cause: msgspec raises RecursionError for JSON that nests too deeply, and int() raises ValueError for a port of more than 4,300 digits. The adapter expected neither, so one item failed the whole answer. StoreReader then had neither a call under way nor one scheduled, since only the project's own errors led to the next call; the loop's guard logged the error. The log of each process shows the one internal_error and no platform_unavailable after it.

The reader takes an unexpected error for a failed call and lists everything again.

--- a/libs/forwarding/src/laburnumbridge/forwarding/errors.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/errors.py
@@ -32,3 +32,15 @@
         super().__init__(f"role {role!r} doesn't exist; use one of {', '.join(roles)}")
         self.role = role
         self.roles = roles
+
+
+class UnexpectedAnswerError(UnavailableError):
+    """An answer of the platform caused an unexpected error, which is logged by itself."""
+
+    def __init__(self, *, status: int, size: int) -> None:
+        super().__init__(
+            f"an answer of the platform with status {status} and {size} bytes "
+            "caused an internal error"
+        )
+        self.status = status
+        self.size = size
--- a/libs/forwarding/src/laburnumbridge/forwarding/store_reader.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/store_reader.py
@@ -8,6 +8,7 @@
 from laburnumbridge.catalog.read_plan import WATCH_WAIT_MS
 from laburnumbridge.core import Event
 from laburnumbridge.core import LaburnumbridgeError
+from laburnumbridge.forwarding.errors import UnexpectedAnswerError
 from laburnumbridge.forwarding.http_client import HttpClient
 
 if TYPE_CHECKING:
@@ -94,6 +95,14 @@
         )
 
     def _on_answer(self, is_watch: bool, status: int, headers: dict[str, str], body: bytes) -> None:
+        # An unexpected error must not end the reading: no other call is scheduled then.
+        if not self._loop.guard(self._handle_answer, is_watch, status, headers, body):
+            self._plan.restart()
+            self._on_failure(UnexpectedAnswerError(status=status, size=len(body)))
+
+    def _handle_answer(
+        self, is_watch: bool, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
         decode = self._codec.decode_watch if is_watch else self._codec.decode_listing
         try:
             items = decode(status, headers, body)
@@ -104,8 +113,11 @@
             return
         self._on_update(update)
         # Scheduled on the loop, so that calls that are answered at once don't nest.
+        self._schedule_call(0.0)
+
+    def _schedule_call(self, delay_s: float) -> None:
         self._is_call_scheduled = True
-        self._loop.call_later(0.0, self._call)
+        self._loop.call_later(delay_s, self._call)
 
     def _log_items(self, items: PlatformItems) -> None:
         for malformed in items.malformed:
@@ -120,5 +132,4 @@
         self._metrics.count("platform_failures_total")
         if not was_failing:
             self._log.write(Event.PLATFORM_UNAVAILABLE, reason=str(error), retry_s=pause_s)
-        self._is_call_scheduled = True
-        self._loop.call_later(pause_s, self._call)
+        self._schedule_call(pause_s)
