Take deep nesting for a malformed message everywhere

Measured: the new tests of updates, sealed datagrams and lists failed before and pass now. Control messages, deltas and "flow explain" have the change without a test of their own.

--- a/libs/catalog/src/laburnumbridge/catalog/update_codec.py
+++ b/libs/catalog/src/laburnumbridge/catalog/update_codec.py
@@ -41,6 +41,6 @@
             del self._buffer[: LENGTH_BYTES + length]
             try:
                 updates.append(_decoder.decode(body))
-            except msgspec.MsgspecError as error:
+            except (msgspec.MsgspecError, RecursionError) as error:
                 raise MalformedUpdateError(reason=str(error)) from error
         return updates
--- a/libs/cli/src/laburnumbridge/cli/flow_explanation.py
+++ b/libs/cli/src/laburnumbridge/cli/flow_explanation.py
@@ -80,5 +80,5 @@
                 if name not in _COMMON_FIELDS or name == "flow"
             },
         )
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
+    except (msgspec.MsgspecError, RecursionError, KeyError, TypeError, ValueError):
         return None
--- a/libs/configuration/src/laburnumbridge/configuration/value_delta.py
+++ b/libs/configuration/src/laburnumbridge/configuration/value_delta.py
@@ -50,7 +50,7 @@
         """
         try:
             return _DECODER.decode(data)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise MalformedDeltaError(cause=str(error)) from error
 
 
--- a/libs/forwarding/tests/test_decoders.py
+++ b/libs/forwarding/tests/test_decoders.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from laburnumbridge.catalog import CatalogUpdate
+from laburnumbridge.catalog import MalformedUpdateError
 from laburnumbridge.catalog import Revision
 from laburnumbridge.catalog import UpdateDecoder
 from laburnumbridge.catalog import UpstreamRemoval
@@ -31,6 +32,7 @@
 from laburnumbridge.standins.flows.process_settings import process_settings
 
 EXAMPLES = 400
+NESTED_LEVELS = 2_000  # twice the interpreter's default limit of recursion
 
 UPDATE = encode_update(
     CatalogUpdate(
@@ -105,6 +107,12 @@
 
         check()
 
+    def test_a_message_that_nests_deeply_raises_the_typed_error(self):
+        # Guards against a RecursionError, which the connection's code doesn't expect.
+        body = b"\x81\xa4note" + b"\x91" * NESTED_LEVELS + b"\xc0"
+        with pytest.raises(MalformedUpdateError):
+            decode_update(len(body).to_bytes(4, "big") + body)
+
     def test_malformed_settings_raise_only_typed_errors(self, tmp_path):
         # Guards against a settings file, replaced while it is read, that ends a running process.
         path = tmp_path / "settings.json"
--- a/libs/lists/src/laburnumbridge/lists/validation_faults.py
+++ b/libs/lists/src/laburnumbridge/lists/validation_faults.py
@@ -48,7 +48,7 @@
 def _parse_document(data: bytes | str) -> object:
     try:
         return json.loads(data)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None  # the validator reports that the document isn't JSON
 
 
--- a/libs/lists/tests/test_lists.py
+++ b/libs/lists/tests/test_lists.py
@@ -43,7 +43,17 @@
         assert [p.path for p in caught.value.problems] == ["plans.plans[1].ceiling"]
 
     @pytest.mark.parametrize(
-        "payload", [b"", b"{", b"[]", b'{"plans": []}', b'{"plans": [{"name": "a"}]}', b"\xff"]
+        "payload",
+        [
+            b"",
+            b"{",
+            b"[]",
+            b'{"plans": []}',
+            b'{"plans": [{"name": "a"}]}',
+            b"\xff",
+            b"[" * 2_000 + b"]" * 2_000,
+        ],
+        ids=lambda payload: repr(payload[:30]),
     )
     def test_malformed_documents_raise_typed_errors(self, payload: bytes) -> None:
         with pytest.raises(InvalidListError):
--- a/libs/runtime/src/laburnumbridge/runtime/control/control_link.py
+++ b/libs/runtime/src/laburnumbridge/runtime/control/control_link.py
@@ -134,7 +134,7 @@
             return
         try:
             message = decoder.decode(opened.message.body)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             self.dropped["malformed"] += 1
             return
         self._handler_by_kind[opened.message.kind](opened.sender, message)
--- a/libs/wire/src/laburnumbridge/wire/sealed_codec.py
+++ b/libs/wire/src/laburnumbridge/wire/sealed_codec.py
@@ -209,7 +209,7 @@
         try:
             message = self._decoder.decode(plain)
             name = ProcessId(sender.decode())
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
             raise DatagramRejectedError(fault=DatagramFault.MALFORMED) from None
         return OpenedDatagram(name, Incarnation(incarnation), counter, message)
 
--- a/libs/wire/tests/test_sealed_codec.py
+++ b/libs/wire/tests/test_sealed_codec.py
@@ -135,3 +135,11 @@
     def test_message_beyond_the_limit_is_not_sealed(self) -> None:
         with pytest.raises(DatagramTooLargeError):
             make().seal(Probe("x" * 1_400), receiver=RECEIVER)
+
+    def test_authentic_message_that_nests_deeply_is_malformed(self) -> None:
+        # Guards against a RecursionError, which the receivers of datagrams don't expect.
+        class Nested(msgspec.Struct, tag="probe"):
+            note: msgspec.Raw
+
+        data = make().seal(Nested(msgspec.Raw(b"\x91" * 1_100 + b"\xc0")), receiver=RECEIVER)
+        assert fault_of(make("b"), data) is DatagramFault.MALFORMED
