Search for open flows beyond the service that their route names now

Cause: the agents of a search, its directory nodes and the check of a recorded agent came from the service of the route in the current configuration. An open flow stays at the service that it was opened to, so its agent was in none of them, and the end of the search reset it. Balancers also gave up a known location when its agent wasn't of the new service and was silent for 0.15 s.

Change: SearchOrder asks the flow's directory nodes, which are the first two of all agents, then the agents of the service, then all others. Processes with different configurations agree on the directory nodes, so a search takes two hops also after a change. A location is kept while its agent is listed for any service.

--- a/libs/flows/src/laburnumbridge/flows/__init__.py
+++ b/libs/flows/src/laburnumbridge/flows/__init__.py
@@ -17,6 +17,8 @@
 from laburnumbridge.flows.outlier_detector import OutlierDetector
 from laburnumbridge.flows.packet_buffer import PacketBuffer
 from laburnumbridge.flows.packet_codec import PacketCodec
+from laburnumbridge.flows.search_order import SearchOrder
+from laburnumbridge.flows.search_order import SearchStep
 from laburnumbridge.flows.upstream_selector import Candidate
 from laburnumbridge.flows.upstream_selector import UpstreamSelector
 
@@ -36,6 +38,8 @@
     "OutlierDetector",
     "PacketBuffer",
     "PacketCodec",
+    "SearchOrder",
+    "SearchStep",
     "TrackedFlow",
     "UpstreamSelector",
 ]
--- a/libs/flows/src/laburnumbridge/flows/agent_ranking.py
+++ b/libs/flows/src/laburnumbridge/flows/agent_ranking.py
@@ -1,4 +1,4 @@
-"""The order in which the agents of a service are searched for a flow."""
+"""The order in which agents are searched for a flow."""
 
 from __future__ import annotations
 
@@ -8,18 +8,20 @@
 from laburnumbridge.core import hash64
 
 if TYPE_CHECKING:
+    from collections.abc import Container
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from laburnumbridge.flows.flow_packet import FlowKey
 
 
 class AgentRanking:
-    """Orders a service's agents for each flow by rendezvous hashing.
+    """Orders agents for each flow by rendezvous hashing.
 
-    The first agents of the order are the flow's directory nodes. They record where it is open, so
-    an entry VM without a record of the flow finds it in two hops. ``next_after`` computes the
-    weight of the given agent itself, so that agent needn't be listed. Weights only decrease along
-    a search: agents with different views search in the same direction, and every search ends.
+    Of all agents, the first of the order are the flow's directory nodes. They record where it is
+    open, so an entry VM without a record of the flow finds it in two hops. ``next_after`` computes
+    the weight of the given agent itself, so that agent needn't be listed. Weights only decrease
+    along a search: agents with different views search in the same direction.
     """
 
     def __init__(self, *, agents: Iterable[str] = ()) -> None:
@@ -28,7 +30,7 @@
     def __len__(self) -> int:
         return len(self._prefix_by_agent)
 
-    def __contains__(self, agent: str) -> bool:
+    def __contains__(self, agent: object) -> bool:
         return agent in self._prefix_by_agent
 
     @property
@@ -43,17 +45,17 @@
         )
         return [agent for _, agent in heapq.nlargest(count, weighted)]
 
-    def first(self, flow: FlowKey) -> str | None:
-        """Return the first agent for ``flow``, or None without agents."""
-        nodes = self.directory_nodes(flow, 1)
-        return nodes[0] if nodes else None
+    def first(self, flow: FlowKey, *, excluded: Container[str] = ()) -> str | None:
+        """Return the first agent for ``flow`` that isn't excluded, or None."""
+        return max(self._weighted(flow, excluded), default=(0, None))[1]
 
-    def next_after(self, flow: FlowKey, agent: str) -> str | None:
-        """Return the agent ranked after ``agent`` for ``flow``, or None after the last one."""
+    def next_after(self, flow: FlowKey, agent: str, *, excluded: Container[str] = ()) -> str | None:
+        """Return the agent ranked after ``agent`` that isn't excluded, or None after the last."""
         agent_weight = (hash64(agent.encode() + b"\0" + flow), agent)
-        following = None
-        for candidate, prefix in self._prefix_by_agent.items():
-            weight = (hash64(prefix + flow), candidate)
-            if weight < agent_weight and (following is None or weight > following):
-                following = weight
-        return following[1] if following else None
+        lower = (weight for weight in self._weighted(flow, excluded) if weight < agent_weight)
+        return max(lower, default=(0, None))[1]
+
+    def _weighted(self, flow: FlowKey, excluded: Container[str]) -> Iterator[tuple[int, str]]:
+        for agent, prefix in self._prefix_by_agent.items():
+            if agent not in excluded:
+                yield hash64(prefix + flow), agent
--- a/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
+++ b/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
@@ -33,11 +33,15 @@
     DIRECT = 0
     """The flow is expected at this agent."""
     RANKED = 1
-    """Next in the ranking; records of directory nodes may shorten the search."""
+    """Next among the service's agents; records may shorten the search."""
     RECORDED = 2
     """A directory node's record names the agent."""
     RANKED_NO_RECORDS = 3
-    """Next in the ranking, after a record was wrong; records aren't used again."""
+    """Next among the service's agents, after a record was wrong; records aren't used again."""
+    DIRECTORY = 4
+    """The agent is a directory node of the flow."""
+    OTHER_SERVICES = 5
+    """Next among the agents of other services, after all of the service; records aren't used."""
 
 
 @dataclass(kw_only=True, slots=True)
--- /dev/null
+++ b/libs/flows/src/laburnumbridge/flows/search_order.py
@@ -0,0 +1,86 @@
+"""The order in which agents are asked for a flow that the asking process doesn't know."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from laburnumbridge.flows.flow_locations import DIRECTORY_NODES
+from laburnumbridge.flows.peer_datagrams import SearchStage
+
+if TYPE_CHECKING:
+    from laburnumbridge.flows.agent_ranking import AgentRanking
+    from laburnumbridge.flows.flow_packet import FlowKey
+
+_WALK_AFTER = {
+    SearchStage.DIRECT: SearchStage.RANKED,
+    SearchStage.DIRECTORY: SearchStage.RANKED,
+    SearchStage.RECORDED: SearchStage.RANKED_NO_RECORDS,
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SearchStep:
+    """The next agent of a search, and the stage in which it gets the packet."""
+
+    agent: str
+    stage: SearchStage
+
+
+class SearchOrder:
+    """Asks a flow's directory nodes, then the agents of its route's service, then all others.
+
+    A route may have moved to another service, or its weights may have changed, while the flow
+    stays where it is. So directory nodes are taken from the agents of all services: processes with
+    different configurations agree on them, and a search takes two hops however many agents the
+    service has. The agents of other services end a search for which there is no record.
+
+    Within a stage the ranks only decrease, and stages only follow each other, so a search ends also
+    between agents with different views.
+    """
+
+    def __init__(self, *, agents: AgentRanking, service_agents: AgentRanking) -> None:
+        self._agents = agents
+        self._service_agents = service_agents
+
+    def first_step(self, flow: FlowKey) -> SearchStep | None:
+        """Return the first step of a search, or None without agents."""
+        agent = self._agents.first(flow)
+        return None if agent is None else SearchStep(agent=agent, stage=SearchStage.DIRECTORY)
+
+    def next_step(self, flow: FlowKey, *, agent: str, stage: SearchStage) -> SearchStep | None:
+        """Return the step after ``agent``, which got the packet in ``stage`` and hasn't the flow.
+
+        Returns None after the last agent.
+        """
+        if stage in (SearchStage.DIRECT, SearchStage.DIRECTORY):
+            node = self._next_directory_node(flow, agent, stage)
+            if node is not None:
+                return SearchStep(agent=node, stage=SearchStage.DIRECTORY)
+        if stage is SearchStage.OTHER_SERVICES:
+            following = self._agents.next_after(flow, agent, excluded=self._service_agents)
+            return self._other_service_step(following)
+        if stage in _WALK_AFTER:
+            # A directory node hasn't tried its own upstream yet, so its turn in the walk comes.
+            has_tried = stage is not SearchStage.DIRECTORY
+            following = self._service_agents.first(flow)
+            if following == agent and has_tried:
+                following = self._service_agents.next_after(flow, agent)
+        else:
+            following = self._service_agents.next_after(flow, agent)
+        if following is not None:
+            return SearchStep(agent=following, stage=_WALK_AFTER.get(stage, stage))
+        return self._other_service_step(self._agents.first(flow, excluded=self._service_agents))
+
+    def _next_directory_node(self, flow: FlowKey, agent: str, stage: SearchStage) -> str | None:
+        nodes = self._agents.directory_nodes(flow, DIRECTORY_NODES)
+        if stage is SearchStage.DIRECTORY:
+            # Only a node that is first in its own view passes the packet on, to a lower rank.
+            return nodes[1] if nodes[:1] == [agent] and len(nodes) > 1 else None
+        return next((node for node in nodes if node != agent), None)
+
+    @staticmethod
+    def _other_service_step(agent: str | None) -> SearchStep | None:
+        if agent is None:
+            return None
+        return SearchStep(agent=agent, stage=SearchStage.OTHER_SERVICES)
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -64,6 +64,11 @@
 """Records of handovers and locations are followed this far: an opening packet is handed over three
 times, and again each time that it has waited. Copies of it go different ways, so that the records
 may form a cycle."""
+RECORD_STAGES = frozenset(SearchStage) - {
+    SearchStage.RANKED_NO_RECORDS,
+    SearchStage.OTHER_SERVICES,
+}
+"""Stages of a search in which records are followed."""
 DEFAULT_SLOTS = 16
 """Slots assumed until the upstream's entry is received: openings needn't be held back then, since
 the upstream has a queue of its own."""
@@ -396,16 +401,15 @@
             return
         if self._search.drop_after_max_hops(packet, envelope):
             return
-        follows_records = envelope.stage is not SearchStage.RANKED_NO_RECORDS
-        if follows_records and envelope.hops < MAX_RECORD_HOPS:
+        if envelope.stage in RECORD_STAGES and envelope.hops < MAX_RECORD_HOPS:
             agent = self._handover_agent_by_flow.get(packet.flow, now)
             if envelope.stage is not SearchStage.RECORDED:
                 agent = agent or self._locations.find(packet.flow, now)
-            ranking = self.directory.ranking(envelope.service_tag)
-            if agent is not None and agent != self.settings.address and agent in ranking:
+            is_other = agent != self.settings.address
+            if agent is not None and is_other and agent in self.directory.agents:
                 self._forward(envelope, agent, SearchStage.RECORDED)
                 return
-        if self._upstream.is_down:
+        if self._upstream.is_down or envelope.stage is SearchStage.DIRECTORY:
             self._search.forward(packet, envelope, now)
             return
         # The upstream may hold a flow that was opened before this process started.
@@ -558,7 +562,7 @@
         if self.directory.agents_changed_at > now - 2 * EXPIRY_INTERVAL_S:
             self._locations.announce_all()
         flows_by_node = self._locations.due_announcements(
-            self._flows.opened_at_by_flow(), self.directory.ranking(self._own_service_tag), now
+            self._flows.opened_at_by_flow(), self.directory.agent_ranking, now
         )
         for node, flows in flows_by_node.items():
             for start in range(0, len(flows), FLOWS_PER_DATAGRAM):
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -192,21 +192,24 @@
 
     def _forward(self, packet: FlowPacket, route: Route, now: float) -> None:
         tag = self._service_tag(route, packet.flow)
-        ranking = self.directory.ranking(tag)
         agent = self._agent_by_flow.touch(packet.flow, now)
-        if agent is not None and (agent in ranking or self._selector.is_responsive(agent, now)):
+        # An agent of any service: the route may have moved to another one since the flow opened.
+        is_usable = agent in self.directory.agents or (
+            agent is not None and self._selector.is_responsive(agent, now)
+        )
+        if agent is not None and is_usable:
             self._send(packet, agent, tag, SearchStage.DIRECT, now)
             return
         # No location, or an agent that is no longer listed and is unresponsive.
-        agent = ranking.first(packet.flow)
-        if agent is None:
+        step = self.directory.search_order(tag).first_step(packet.flow)
+        if step is None:
             self.drop("no_agent", flow=flow_text(packet.flow), route=route.name)
             return
         self.metrics.count("flows_searched_total")
         self.log.write(
-            Event.FLOW_SEARCHED, outcome="unknown", flow=flow_text(packet.flow), agent=agent
+            Event.FLOW_SEARCHED, outcome="unknown", flow=flow_text(packet.flow), agent=step.agent
         )
-        self._send(packet, agent, tag, SearchStage.RANKED, now)
+        self._send(packet, step.agent, tag, step.stage, now)
 
     def _refuse_unrouted(self, packet: FlowPacket, now: float) -> None:
         has_location = self._agent_by_flow.get(packet.flow, now) is not None
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_search.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_search.py
@@ -17,7 +17,7 @@
     from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
 
 MAX_HOPS = 200
-"""Ends a search in which agents use different rankings; any other ends with the ranking."""
+"""Ends a search in which agents use different rankings; any other ends with the last agent."""
 SETTLE_S = 0.3
 """A search that found nothing is final only if no agent was added for this long: the first agents
 of the search may not have had the new entry yet. A change reaches all processes within a tenth of
@@ -30,7 +30,7 @@
 
 
 class FlowSearch:
-    """Forwards a packet whose flow isn't held here to the next agent of the flow's ranking.
+    """Forwards a packet whose flow isn't held here to the next agent of its search.
 
     Calls ``reset`` with the flow and the acknowledged sequence number once no agent can hold it.
     """
@@ -56,22 +56,14 @@
 
     def forward(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         """Forward a packet to the next agent of the search, or end the search."""
-        ranking = self._process.directory.ranking(envelope.service_tag)
-        own_address = self._process.settings.address
-        stage = envelope.stage
-        if stage in (SearchStage.DIRECT, SearchStage.RECORDED):
-            is_direct = stage is SearchStage.DIRECT
-            stage = SearchStage.RANKED if is_direct else SearchStage.RANKED_NO_RECORDS
-            agent = ranking.first(packet.flow)
-            if agent == own_address:
-                agent = ranking.next_after(packet.flow, own_address)
-        else:
-            agent = ranking.next_after(packet.flow, own_address)
-        if agent is None:
+        step = self._process.directory.search_order(envelope.service_tag).next_step(
+            packet.flow, agent=self._process.settings.address, stage=envelope.stage
+        )
+        if step is None:
             self._end_search(packet, envelope, now)
             return
         self._process.metrics.count("search_hops_total")
-        self._forward(envelope, agent, stage)
+        self._forward(envelope, step.agent, step.stage)
 
     def _end_search(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         """Reset a flow that no agent holds, if the view is fresh and settled.
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -9,6 +9,7 @@
 from laburnumbridge.catalog import RouteIndex
 from laburnumbridge.flows import AgentRanking
 from laburnumbridge.flows import Candidate
+from laburnumbridge.flows import SearchOrder
 
 if TYPE_CHECKING:
     from collections.abc import KeysView
@@ -38,6 +39,7 @@
 class ServiceDirectory:
     """Routes, candidates and rankings, rebuilt from the catalog when it changes.
 
+    ``agent_ranking`` ranks all agents, beside draining upstreams and of all services.
     ``agents_changed_at`` is the time of the last change to the set of agents, and
     ``agents_added_at`` that of the last added one; both are 0 before the first.
     """
@@ -49,6 +51,7 @@
         self._ranking_by_tag: dict[int, AgentRanking] = {}
         self._warm_up_ends_at_by_name: dict[str, float] = {}
         self._entry_by_agent: dict[str, UpstreamEntry] = {}
+        self.agent_ranking = _NO_AGENTS
         self.agents_changed_at = 0.0
         self.agents_added_at = 0.0
 
@@ -88,6 +91,7 @@
             tag: AgentRanking(agents=[entry.address for entry in entries])
             for tag, entries in self._entries_by_tag.items()
         }
+        self.agent_ranking = AgentRanking(agents=self._entry_by_agent)
         after = set(self._entry_by_agent)
         if before != after:
             self.agents_changed_at = now
@@ -107,9 +111,11 @@
         """Addresses of all agents that are listed."""
         return self._entry_by_agent.keys()
 
-    def ranking(self, tag: int) -> AgentRanking:
-        """Return the ranking of a service's agents, draining ones included."""
-        return self._ranking_by_tag.get(tag, _NO_AGENTS)
+    def search_order(self, tag: int) -> SearchOrder:
+        """Return the order of search for flows of a route whose service now has the tag."""
+        return SearchOrder(
+            agents=self.agent_ranking, service_agents=self._ranking_by_tag.get(tag, _NO_AGENTS)
+        )
 
     def candidates(self, tag: int, now: float) -> list[Candidate]:
         """Return the agents of a service whose upstreams aren't draining."""
--- a/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from laburnumbridge.catalog import NO_REVISION
@@ -13,15 +14,22 @@
 from laburnumbridge.standins.flows.process_settings import UPSTREAM_PORT
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from laburnumbridge.forwarding.endpoints import Endpoint
 
 IDLE_TIMEOUT_MS = 15_000
+ONE_SERVICE = MappingProxyType({SERVICE_NAME: 1})
 
 
 def make_configuration(
-    version: int, endpoints: tuple[Endpoint, ...], *, timeout_ms: int = 0
+    version: int,
+    endpoints: tuple[Endpoint, ...],
+    *,
+    timeout_ms: int = 0,
+    weight_by_service: Mapping[str, int] = ONE_SERVICE,
 ) -> RoutingConfiguration:
-    """Return routes from ``endpoints`` to the one service; ``timeout_ms`` 0 is no time-out."""
+    """Return routes from ``endpoints`` to the services; ``timeout_ms`` 0 is no time-out."""
     return RoutingConfiguration(
         version=version,
         routes=tuple(
@@ -29,7 +37,10 @@
                 name=f"r-{address}-{port}",
                 address=address,
                 port=port,
-                shares=(ServiceShare(service=SERVICE_NAME, weight=1),),
+                shares=tuple(
+                    ServiceShare(service=service, weight=weight)
+                    for service, weight in weight_by_service.items()
+                ),
                 is_retryable=False,
                 is_transfer=False,
                 timeout_ms=timeout_ms,
@@ -46,12 +57,17 @@
 
 
 def make_entry(
-    address: str, *, slots: int, is_draining: bool = False, started_ms: int = 1
+    address: str,
+    *,
+    slots: int,
+    is_draining: bool = False,
+    started_ms: int = 1,
+    service: str = SERVICE_NAME,
 ) -> UpstreamEntry:
     """Return the entry of the upstream at ``address``."""
     return UpstreamEntry(
         name=entry_name(address),
-        service=SERVICE_NAME,
+        service=service,
         address=address,
         port=UPSTREAM_PORT,
         failure_domain="north",
--- a/libs/standins/src/laburnumbridge/standins/flows/process_settings.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/process_settings.py
@@ -17,13 +17,22 @@
 SERVICE: Endpoint = ("198.18.0.1", 443)
 OTHER_SERVICE: Endpoint = ("198.18.0.9", 443)
 SERVICE_NAME = "desk"
+SECOND_SERVICE_NAME = "archive"
 STOP_GRACE_S = 6
 
 
 def process_settings(
-    address: str, *, platform: Endpoint, seeds: list[str], is_agent: bool
+    address: str,
+    *,
+    platform: Endpoint,
+    seeds: list[str],
+    is_agent: bool,
+    service: str = SERVICE_NAME,
 ) -> dict[str, object]:
-    """Return the settings of the process at ``address``; ports are the same on all VMs."""
+    """Return the settings of the process at ``address``; ports are the same on all VMs.
+
+    ``service`` is that of an agent's upstream.
+    """
     settings: dict[str, object] = {
         "process": f"vm-{address}",
         "failure_domain": "north",
@@ -39,7 +48,7 @@
     }
     if is_agent:
         settings["upstream"] = {
-            "service": SERVICE_NAME,
+            "service": service,
             "endpoint": f"{address}:{UPSTREAM_PORT}",
             "output_endpoint": f"{address}:{OUTPUT_PORT}",
         }
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -15,6 +15,7 @@
 from laburnumbridge.forwarding.flow_balancer import FlowBalancer
 from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
 from laburnumbridge.standins.flows.client_stand_in import ClientStandIn
+from laburnumbridge.standins.flows.platform_data import ONE_SERVICE
 from laburnumbridge.standins.flows.platform_data import entry_name
 from laburnumbridge.standins.flows.platform_data import make_configuration
 from laburnumbridge.standins.flows.platform_data import make_entry
@@ -23,7 +24,9 @@
 from laburnumbridge.standins.flows.process_settings import CONTROL_PORT
 from laburnumbridge.standins.flows.process_settings import OUTPUT_PORT
 from laburnumbridge.standins.flows.process_settings import PACKET_PORT
+from laburnumbridge.standins.flows.process_settings import SECOND_SERVICE_NAME
 from laburnumbridge.standins.flows.process_settings import SERVICE
+from laburnumbridge.standins.flows.process_settings import SERVICE_NAME
 from laburnumbridge.standins.flows.process_settings import UPSTREAM_PORT
 from laburnumbridge.standins.flows.process_settings import process_settings
 from laburnumbridge.standins.flows.simulation import SimulatedLoop
@@ -33,6 +36,7 @@
 from laburnumbridge.standins.flows.upstream_stand_in import UpstreamStandIn
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from pathlib import Path
 
     from laburnumbridge.catalog import UpstreamEntry
@@ -69,7 +73,8 @@
     """Balancers, agents with upstreams, a platform, a fabric and a client.
 
     The fabric selects the balancer of a flow by its hash modulo the length of ``rotation``, so a
-    change of it moves nearly all flows to other balancers.
+    change of it moves nearly all flows to other balancers. ``second_service_agents`` are the agents
+    beside upstreams of the second service; the first configuration has no route to it.
     """
 
     def __init__(
@@ -78,6 +83,7 @@
         directory: Path,
         balancers: int = 3,
         agents: int = 4,
+        second_service_agents: int = 0,
         slots: int = 4,
         work_s: float = 0.06,
     ) -> None:
@@ -91,6 +97,10 @@
         self.platform.start()
         self.balancers = [f"10.1.0.{number}" for number in range(1, balancers + 1)]
         self.agents = [f"10.2.0.{number}" for number in range(1, agents + 1)]
+        self.second_service_agents = [
+            f"10.3.0.{number}" for number in range(1, second_service_agents + 1)
+        ]
+        self.agents += self.second_service_agents
         self.rotation = list(self.balancers)
         self.process_by_address: dict[str, ForwardingProcess] = {}
         self.log_by_address: dict[str, InMemoryDecisionLog] = {}
@@ -111,14 +121,28 @@
         self.simulation.run_for(2.0)
 
     def configure(
-        self, *, version: int, endpoints: tuple[Endpoint, ...] = (SERVICE,), timeout_ms: int = 0
+        self,
+        *,
+        version: int,
+        endpoints: tuple[Endpoint, ...] = (SERVICE,),
+        timeout_ms: int = 0,
+        weight_by_service: Mapping[str, int] = ONE_SERVICE,
     ) -> None:
-        """Publish a configuration with routes from ``endpoints`` to the service."""
-        self.platform.configure(make_configuration(version, endpoints, timeout_ms=timeout_ms))
+        """Publish a configuration with routes from ``endpoints`` to the services."""
+        self.platform.configure(
+            make_configuration(
+                version, endpoints, timeout_ms=timeout_ms, weight_by_service=weight_by_service
+            )
+        )
 
     def entry(self, address: str, *, is_draining: bool = False) -> UpstreamEntry:
         """Return the entry of the upstream at ``address``."""
-        return make_entry(address, slots=self._slots, is_draining=is_draining)
+        return make_entry(
+            address,
+            slots=self._slots,
+            is_draining=is_draining,
+            service=self._service(address),
+        )
 
     def start_upstream(self, address: str) -> None:
         """Start the upstream at ``address`` and register it."""
@@ -238,4 +262,8 @@
             platform=PLATFORM,
             seeds=[f"{seed}:{CONTROL_PORT}" for seed in self.balancers[:3]],
             is_agent=is_agent,
+            service=self._service(address),
         )
+
+    def _service(self, address: str) -> str:
+        return SECOND_SERVICE_NAME if address in self.second_service_agents else SERVICE_NAME
