Keep an upstream in use beside a foreign entry for its address

Cause: ServiceDirectory used every decodable entry, and of two entries for one address only the one that was written last, whatever its port and service. Agents followed the same rule for their own upstream, so a foreign entry also ended a draining.

Change: the configuration carries its services, and entries of others are ignored and logged. A service that is dropped stays known, as flows may be open there. Entries with different ports or services don't affect each other; of those that agree, the latest start counts. An agent goes by the entry with its own address, port and service.

--- a/libs/catalog/src/laburnumbridge/catalog/configuration_changes.py
+++ b/libs/catalog/src/laburnumbridge/catalog/configuration_changes.py
@@ -21,6 +21,7 @@
         changed=tuple(route for route in newer.routes if base_by_name.get(route.name) != route),
         removed=tuple(name for name in base_by_name if name not in newer_names),
         idle_timeout_ms=newer.idle_timeout_ms,
+        services=None if newer.services == base.services else newer.services,
     )
 
 
@@ -34,4 +35,5 @@
         version=change.version,
         routes=tuple(route_by_name.values()),
         idle_timeout_ms=change.idle_timeout_ms,
+        services=base.services if change.services is None else change.services,
     )
--- a/libs/catalog/src/laburnumbridge/catalog/records.py
+++ b/libs/catalog/src/laburnumbridge/catalog/records.py
@@ -70,22 +70,30 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoutingConfiguration:
-    """All routes at one version; a flow may be idle for ``idle_timeout_ms``."""
+    """All routes at one version; a flow may be idle for ``idle_timeout_ms``.
+
+    ``services`` are those that the operator has configured, also without a route.
+    """
 
     version: int
     routes: tuple[Route, ...]
     idle_timeout_ms: int
+    services: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigurationChange:
-    """The change from the configuration of ``base_version`` to that of ``version``."""
+    """The change from the configuration of ``base_version`` to that of ``version``.
+
+    ``services`` is None if they are the same.
+    """
 
     base_version: int
     version: int
     changed: tuple[Route, ...]
     removed: tuple[str, ...]
     idle_timeout_ms: int
+    services: tuple[str, ...] | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/libs/catalog/tests/test_update_codec.py
+++ b/libs/catalog/tests/test_update_codec.py
@@ -16,6 +16,8 @@
 from laburnumbridge.catalog import UpdateDecoder
 from laburnumbridge.catalog import UpstreamRemoval
 from laburnumbridge.catalog import encode_update
+from laburnumbridge.catalog.configuration_changes import apply_change
+from laburnumbridge.catalog.configuration_changes import diff_configurations
 from laburnumbridge.standins.flows.platform_data import make_entry
 
 
@@ -72,3 +74,14 @@
             UpdateDecoder().feed(len(body).to_bytes(4, "big") + body)
         except MalformedUpdateError:
             return
+
+
+class TestConfigurationChanges:
+    @pytest.mark.parametrize("services", [("desk",), ("desk", "archive"), ()])
+    def test_a_change_carries_the_services(self, services):
+        # Guards against a peer that ignores the upstreams of a service that was added.
+        base = RoutingConfiguration(
+            version=1, routes=(), idle_timeout_ms=1, services=("desk", "archive")
+        )
+        newer = replace(base, version=2, services=services)
+        assert apply_change(base, diff_configurations(base, newer)) == newer
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -44,6 +44,7 @@
 
 if TYPE_CHECKING:
     from laburnumbridge.catalog import CatalogUpdate
+    from laburnumbridge.catalog import UpstreamEntry
     from laburnumbridge.flows import FlowKey
     from laburnumbridge.flows import FlowPacket
     from laburnumbridge.forwarding.endpoints import Endpoint
@@ -101,6 +102,7 @@
         upstream = self.settings.upstream
         assert upstream is not None, "an agent's settings name its upstream"
         self._upstream_endpoint = parse_endpoint(upstream.endpoint)
+        self._own_service = upstream.service
         self._own_service_tag = service_tag(upstream.service)
         self._outputs = self.network.datagram_port(
             parse_endpoint(upstream.output_endpoint), self._on_upstream_datagram
@@ -169,22 +171,29 @@
         """Update the idle time-out and the slots, and drop the load of removed agents."""
         if self.directory.idle_timeout_s is not None:
             self._flows.idle_s = self.directory.idle_timeout_s
-        if any(entry.address == self.settings.address for entry in update.entries):
+        entry = self._own_entry
+        if entry is not None:
             self._was_listed = True
-        entry = self.directory.entry(self.settings.address)
         self._flows.slots = 0 if entry is None else entry.slots
         if update.entries or update.removals:
-            self._selector.retain(self.directory.agents)
+            self._selector.retain(self.directory.listed_agents)
         if self._upstream.is_down and not self._has_draining_upstream:
             self._reset_open_flows()
 
+    @property
+    def _own_entry(self) -> UpstreamEntry | None:
+        """The entry of the upstream beside this agent; other writers may name its address too."""
+        return self.directory.entry(
+            self._upstream_endpoint[0], self._upstream_endpoint[1], self._own_service
+        )
+
     @property
     def _has_draining_upstream(self) -> bool:
         """True while the upstream beside this agent is listed as draining.
 
         It refuses new connections before its last flows have ended, so a probe proves nothing.
         """
-        entry = self.directory.entry(self.settings.address)
+        entry = self._own_entry
         return entry is not None and entry.is_draining
 
     @property
@@ -195,14 +204,12 @@
         """
         if self.is_stopping or not self._upstream.is_usable(self.loop.now()):
             return False
-        entry = self.directory.entry(self.settings.address)
-        if entry is None:
-            return not self._was_listed
-        return not entry.is_draining and service_tag(entry.service) == self._own_service_tag
+        entry = self._own_entry
+        return not self._was_listed if entry is None else not entry.is_draining
 
     @property
     def _slots(self) -> int:
-        entry = self.directory.entry(self.settings.address)
+        entry = self._own_entry
         return DEFAULT_SLOTS if entry is None else entry.slots
 
     # Packets from balancers and agents.
@@ -406,7 +413,7 @@
             if envelope.stage is not SearchStage.RECORDED:
                 agent = agent or self._locations.find(packet.flow, now)
             is_other = agent != self.settings.address
-            if agent is not None and is_other and agent in self.directory.agents:
+            if agent is not None and is_other and agent in self.directory.listed_agents:
                 self._forward(envelope, agent, SearchStage.RECORDED)
                 return
         if self._upstream.is_down or envelope.stage is SearchStage.DIRECTORY:
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -100,7 +100,7 @@
     def on_view_change(self, update: CatalogUpdate) -> None:
         """Drop the load of removed agents; with the first view, dispatch the buffered packets."""
         if update.entries or update.removals:
-            self._selector.retain(self.directory.agents)
+            self._selector.retain(self.directory.listed_agents)
         if not self._had_view and self.view.catalog.is_ready:
             self._had_view = True
             self.metrics.count("packets_early_total", amount=len(self._early_packets))
@@ -194,7 +194,7 @@
         tag = self._service_tag(route, packet.flow)
         agent = self._agent_by_flow.touch(packet.flow, now)
         # An agent of any service: the route may have moved to another one since the flow opened.
-        is_usable = agent in self.directory.agents or (
+        is_usable = agent in self.directory.listed_agents or (
             agent is not None and self._selector.is_responsive(agent, now)
         )
         if agent is not None and is_usable:
@@ -256,7 +256,8 @@
             self._is_isolated = is_isolated
             self.log.write(Event.AGENTS_UNREACHABLE, outcome="lost" if is_isolated else "regained")
         if is_isolated:
-            for agent in self._probe_choice.sample(list(self.directory.agents), PROBED_AGENTS):
+            agents = list(self.directory.agent_ranking.agents)
+            for agent in self._probe_choice.sample(agents, PROBED_AGENTS):
                 self.peers.send(bytes((DatagramKind.PROBE,)), (agent, self.settings.peer_port))
 
     def _upkeep(self) -> None:
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -193,6 +193,9 @@
 
     def _on_view_change(self, update: CatalogUpdate) -> None:
         self.directory.apply(update, self.loop.now())
+        for entry in self.directory.unconfigured(update):
+            reason = f"service {entry.service!r} isn't configured"
+            self.log.write(Event.ITEM_IGNORED, key=entry.name, reason=reason)
         self.on_view_change(update)
 
     def _serve_readiness(self, _path: str) -> tuple[int, bytes]:
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -12,8 +12,6 @@
 from laburnumbridge.flows import SearchOrder
 
 if TYPE_CHECKING:
-    from collections.abc import KeysView
-
     from laburnumbridge.catalog import Catalog
     from laburnumbridge.catalog import CatalogUpdate
     from laburnumbridge.catalog import Route
@@ -28,6 +26,7 @@
 """Tags kept: more than the services that the 2,900 addresses at full size have."""
 
 _NO_AGENTS = AgentRanking()
+_Upstream = tuple[str, int, str]  # address, port and service
 
 
 @lru_cache(maxsize=SERVICE_TAG_CACHE_SIZE)
@@ -39,6 +38,12 @@
 class ServiceDirectory:
     """Routes, candidates and rankings, rebuilt from the catalog when it changes.
 
+    Entries may come from other writers, and one address may be named by several: of an upstream
+    that has ended, of one that has started since, or of another writer. An entry is used if its
+    service is configured, or was while this process has run: its flows may still be open. Entries
+    with different ports or services don't affect each other. Of those that agree on address, port
+    and service, the one with the latest start counts.
+
     ``agent_ranking`` ranks all agents, beside draining upstreams and of all services.
     ``agents_changed_at`` is the time of the last change to the set of agents, and
     ``agents_added_at`` that of the last added one; both are 0 before the first.
@@ -47,11 +52,14 @@
     def __init__(self, *, catalog: Catalog) -> None:
         self._catalog = catalog
         self._routes: RouteIndex | None = None
+        self._known_services: frozenset[str] = frozenset()
+        self._entry_by_name: dict[str, UpstreamEntry] = {}
+        self._entry_by_upstream: dict[_Upstream, UpstreamEntry] = {}
         self._entries_by_tag: dict[int, list[UpstreamEntry]] = {}
         self._ranking_by_tag: dict[int, AgentRanking] = {}
         self._warm_up_ends_at_by_name: dict[str, float] = {}
-        self._entry_by_agent: dict[str, UpstreamEntry] = {}
         self.agent_ranking = _NO_AGENTS
+        self.listed_agents: frozenset[str] = frozenset()
         self.agents_changed_at = 0.0
         self.agents_added_at = 0.0
 
@@ -68,48 +76,73 @@
 
     def apply(self, update: CatalogUpdate, now: float) -> None:
         """Rebuild what ``update`` has changed; it must be merged into the catalog before."""
-        configuration = self._catalog.configuration
-        if configuration is not None and (update.configuration or update.configuration_change):
-            self._routes = RouteIndex(configuration=configuration)
+        has_new_services = False
+        if update.configuration or update.configuration_change:
+            has_new_services = self._apply_configuration()
         for entry in update.entries:
-            if self._entry_by_agent.get(entry.address) == entry:
+            if self._entry_by_name.get(entry.name) == entry:
                 continue  # sent again for peers that lack it
             self._warm_up_ends_at_by_name[entry.name] = now + entry.warm_up_left_ms / 1000
         for removal in update.removals:
             self._warm_up_ends_at_by_name.pop(removal.name, None)
-        if not update.entries and not update.removals:
-            return
-        before = set(self._entry_by_agent)
+        if update.entries or update.removals or has_new_services:
+            self._rebuild_agents(now)
+
+    def _apply_configuration(self) -> bool:
+        """Return whether a service has become known."""
+        configuration = self._catalog.configuration
+        if configuration is None:
+            return False
+        self._routes = RouteIndex(configuration=configuration)
+        before = self._known_services
+        self._known_services = before.union(
+            configuration.services,
+            (share.service for route in configuration.routes for share in route.shares),
+        )
+        return before != self._known_services
+
+    def _rebuild_agents(self, now: float) -> None:
+        before = set(self.agent_ranking.agents)
+        self._entry_by_name = dict(self._catalog.entry_by_name)
+        entries = self._entry_by_name.values()
+        self.listed_agents = frozenset(entry.address for entry in entries)
+        self._entry_by_upstream = {
+            (entry.address, entry.port, entry.service): entry
+            for entry in sorted(entries, key=lambda entry: (entry.started_ms, entry.revision))
+        }
         self._entries_by_tag = {}
-        self._entry_by_agent = {}
-        # An address that is listed twice belongs to the entry that was written last.
-        for entry in sorted(self._catalog.entry_by_name.values(), key=lambda entry: entry.revision):
-            self._entry_by_agent[entry.address] = entry
-        for entry in self._entry_by_agent.values():
-            self._entries_by_tag.setdefault(service_tag(entry.service), []).append(entry)
+        for entry in self._entry_by_upstream.values():
+            if entry.service in self._known_services:
+                self._entries_by_tag.setdefault(service_tag(entry.service), []).append(entry)
         self._ranking_by_tag = {
             tag: AgentRanking(agents=[entry.address for entry in entries])
             for tag, entries in self._entries_by_tag.items()
         }
-        self.agent_ranking = AgentRanking(agents=self._entry_by_agent)
-        after = set(self._entry_by_agent)
+        self.agent_ranking = AgentRanking(
+            agents=[agent for ranking in self._ranking_by_tag.values() for agent in ranking.agents]
+        )
+        after = set(self.agent_ranking.agents)
         if before != after:
             self.agents_changed_at = now
         if after - before:
             self.agents_added_at = now
 
+    def unconfigured(self, update: CatalogUpdate) -> list[UpstreamEntry]:
+        """Return the entries of ``update`` that aren't used since their service isn't known."""
+        if self._routes is None:
+            return []
+        return [entry for entry in update.entries if entry.service not in self._known_services]
+
     def route(self, flow: FlowKey) -> Route | None:
         """Return the route of a flow, or None if its destination has none."""
         return None if self._routes is None else self._routes.find(flow)
 
-    def entry(self, agent: str) -> UpstreamEntry | None:
-        """Return the upstream entry with the address of ``agent``, or None if there is none."""
-        return self._entry_by_agent.get(agent)
+    def entry(self, agent: str, port: int, service: str) -> UpstreamEntry | None:
+        """Return the entry of an upstream at the address of ``agent``, or None if it isn't listed.
 
-    @property
-    def agents(self) -> KeysView[str]:
-        """Addresses of all agents that are listed."""
-        return self._entry_by_agent.keys()
+        The service needn't be configured: an agent knows that of its own upstream.
+        """
+        return self._entry_by_upstream.get((agent, port, service))
 
     def search_order(self, tag: int) -> SearchOrder:
         """Return the order of search for flows of a route whose service now has the tag."""
@@ -118,9 +151,13 @@
         )
 
     def candidates(self, tag: int, now: float) -> list[Candidate]:
-        """Return the agents of a service whose upstreams aren't draining."""
-        return [
-            Candidate(
+        """Return the agents of a service that have an upstream which isn't draining.
+
+        If the entries of an address contradict each other, its agent decides: it knows the port of
+        its upstream, and hands over what that doesn't take.
+        """
+        candidate_by_agent = {
+            entry.address: Candidate(
                 agent=entry.address,
                 failure_domain=entry.failure_domain,
                 slots=entry.slots,
@@ -132,4 +169,5 @@
             )
             for entry in self._entries_by_tag.get(tag, ())
             if not entry.is_draining
-        ]
+        }
+        return list(candidate_by_agent.values())
--- a/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
@@ -10,6 +10,7 @@
 from laburnumbridge.catalog import RoutingConfiguration
 from laburnumbridge.catalog import ServiceShare
 from laburnumbridge.catalog import UpstreamEntry
+from laburnumbridge.standins.flows.process_settings import SECOND_SERVICE_NAME
 from laburnumbridge.standins.flows.process_settings import SERVICE_NAME
 from laburnumbridge.standins.flows.process_settings import UPSTREAM_PORT
 
@@ -19,6 +20,7 @@
     from laburnumbridge.forwarding.endpoints import Endpoint
 
 IDLE_TIMEOUT_MS = 15_000
+SERVICES = (SERVICE_NAME, SECOND_SERVICE_NAME)
 ONE_SERVICE = MappingProxyType({SERVICE_NAME: 1})
 
 
@@ -28,8 +30,9 @@
     *,
     timeout_ms: int = 0,
     weight_by_service: Mapping[str, int] = ONE_SERVICE,
+    services: tuple[str, ...] = SERVICES,
 ) -> RoutingConfiguration:
-    """Return routes from ``endpoints`` to the services; ``timeout_ms`` 0 is no time-out."""
+    """Return routes from ``endpoints``; ``timeout_ms`` 0 is no time-out."""
     return RoutingConfiguration(
         version=version,
         routes=tuple(
@@ -48,6 +51,7 @@
             for address, port in endpoints
         ),
         idle_timeout_ms=IDLE_TIMEOUT_MS,
+        services=services,
     )
 
 
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -16,6 +16,7 @@
 from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
 from laburnumbridge.standins.flows.client_stand_in import ClientStandIn
 from laburnumbridge.standins.flows.platform_data import ONE_SERVICE
+from laburnumbridge.standins.flows.platform_data import SERVICES
 from laburnumbridge.standins.flows.platform_data import entry_name
 from laburnumbridge.standins.flows.platform_data import make_configuration
 from laburnumbridge.standins.flows.platform_data import make_entry
@@ -127,11 +128,16 @@
         endpoints: tuple[Endpoint, ...] = (SERVICE,),
         timeout_ms: int = 0,
         weight_by_service: Mapping[str, int] = ONE_SERVICE,
+        services: tuple[str, ...] = SERVICES,
     ) -> None:
-        """Publish a configuration with routes from ``endpoints`` to the services."""
+        """Publish a configuration with routes from ``endpoints``."""
         self.platform.configure(
             make_configuration(
-                version, endpoints, timeout_ms=timeout_ms, weight_by_service=weight_by_service
+                version,
+                endpoints,
+                timeout_ms=timeout_ms,
+                weight_by_service=weight_by_service,
+                services=services,
             )
         )
 
