Keep a quiet balancer in rotation after one agent is lost

Cause: a balancer took itself for isolated when no agent had answered for 0.7 s and any packet was unanswered. A lost agent leaves one unanswered until its entry goes, and a quiet balancer sends nothing else that could be answered.

Change: the time runs from the first packet after the last answer, and agents are probed after 0.2 s of silence, before the balancer counts as isolated. A balancer that is cut off leaves the rotation as before.

--- a/libs/flows/src/laburnumbridge/flows/upstream_selector.py
+++ b/libs/flows/src/laburnumbridge/flows/upstream_selector.py
@@ -73,26 +73,32 @@
         self._placed_at_by_agent: dict[str, list[float]] = {}
         self._avoid_until_by_agent: dict[str, float] = {}
         self._unanswered_since_by_agent: dict[str, float] = {}
-        self._last_received_at: float | None = None
+        self._sent_since_answer_at: float | None = None
 
     def on_sent(self, agent: str, now: float) -> None:
         """Record that a packet was sent to ``agent``, which answers with a load report."""
         self._unanswered_since_by_agent.setdefault(agent, now)
+        if self._sent_since_answer_at is None:
+            self._sent_since_answer_at = now
 
     def on_received(self, agent: str, now: float) -> None:
         """Record that a datagram from ``agent`` was received."""
-        self._last_received_at = now
+        self._sent_since_answer_at = None
         self._unanswered_since_by_agent.pop(agent, None)
 
     def is_isolated(self, now: float) -> bool:
         """Return whether no agent has answered any packet for more than ``ISOLATION_S``."""
-        if not self._unanswered_since_by_agent:
-            return False
-        unanswered_s = now - min(self._unanswered_since_by_agent.values())
-        since_received_s = (
-            unanswered_s if self._last_received_at is None else now - self._last_received_at
-        )
-        return min(unanswered_s, since_received_s) > ISOLATION_S
+        return self.silent_s(now) > ISOLATION_S
+
+    def silent_s(self, now: float) -> float:
+        """Return for how many seconds no agent has answered any packet; 0 if none was sent.
+
+        The time runs from the first packet after the last answer, from whatever agent: while
+        nothing is sent nothing is answered, and packets to an agent that is gone never are.
+        """
+        if self._sent_since_answer_at is None or not self._unanswered_since_by_agent:
+            return 0.0
+        return now - self._sent_since_answer_at
 
     def unanswered_s(self, agent: str, now: float) -> float:
         """Return for how many seconds packets to ``agent`` have been unanswered; 0 if none is."""
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -56,6 +56,9 @@
 PROBED_AGENTS = 3
 """Agents probed each ``UPKEEP_INTERVAL_S`` while none answers; more than one, since some may be
 lost or have failed."""
+PROBE_AFTER_S = 0.2
+"""Agents are probed from this time of silence on, so that two rounds of probes come before the
+balancer counts as isolated: the only agents that it has sent to may be those that are lost."""
 
 
 class FlowBalancer(ForwardingProcess):
@@ -250,12 +253,12 @@
         return super().unready_reason
 
     def _update_isolation(self, now: float) -> None:
-        """Leave the rotation while no agent answers, and probe agents until one does."""
+        """Leave the rotation while no agent answers, also not the probed ones."""
         is_isolated = self._selector.is_isolated(now)
         if is_isolated != self._is_isolated:
             self._is_isolated = is_isolated
             self.log.write(Event.AGENTS_UNREACHABLE, outcome="lost" if is_isolated else "regained")
-        if is_isolated:
+        if self._selector.silent_s(now) > PROBE_AFTER_S:
             agents = list(self.directory.agent_ranking.agents)
             for agent in self._probe_choice.sample(agents, PROBED_AGENTS):
                 self.peers.send(bytes((DatagramKind.PROBE,)), (agent, self.settings.peer_port))
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -557,6 +557,17 @@
             fleet.simulation.run_for(0.1)
             assert fleet.process_by_address[fleet.balancers[0]].unready_reason is None
 
+    def test_a_quiet_balancer_stays_after_one_agent_is_lost(self, fleet):
+        # Guards against a balancer that leaves and enters the rotation by turns: all that it had to
+        # send went to the agent that was lost, so nothing was answered.
+        flow = fleet.open_served_flow(settle_s=1.0)
+        lost = fleet.holder(flow.key)
+        fleet.kill(lost)
+        fleet.upstream_by_address[lost].crash()
+        flow.request(b"second")
+        fleet.simulation.run_for(6.0)
+        assert fleet.lines(Event.AGENTS_UNREACHABLE) == []
+
 
 class TestViewSharing:
     def test_a_change_is_sent_without_the_unchanged_routes(self, fleet):
