Move routes and publish foreign entries in the fault soak

Change: two of eight agents of the soak have upstreams of a second service. Two kinds of fault are new: the routes move to the other service, and another writer publishes an entry for the address of an upstream, of an unconfigured service, at another port or both.

--- a/libs/standins/src/laburnumbridge/standins/flows/fault_injector.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_injector.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import signal
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
+from typing import Any
 
 from laburnumbridge.standins.flows.fault_proxy import ProxyFault
 from laburnumbridge.standins.flows.fault_schedule import FaultKind
+from laburnumbridge.standins.flows.platform_data import make_entry
 
 if TYPE_CHECKING:
     from laburnumbridge.forwarding.network import Loop
@@ -27,6 +30,13 @@
 EXPIRY_DELAY_S = 3.6
 """How long after a restore the entries of upstreams that don't run expire."""
 POLL_INTERVAL_S = 0.1
+_FOREIGN_VARIANTS: tuple[dict[str, Any], ...] = (
+    {"service": "exporter"},
+    {"service": "exporter", "port": 9_100},
+    {"port": 9_100, "is_draining": True},
+    {"port": 9_100},
+)
+"""Differences of another writer's entry from that of the upstream at its address."""
 
 _PROXY_FAULT = {
     FaultKind.PROXY_DELAY: ProxyFault.DELAY,
@@ -80,6 +90,10 @@
             self._restore_platform()
         elif fault.kind is FaultKind.CONFIGURE:
             self._fleet.configure()
+        elif fault.kind is FaultKind.MOVE_ROUTE:
+            self._fleet.move_route()
+        elif fault.kind is FaultKind.FOREIGN_ENTRY:
+            self._publish_foreign_entry(address, fault)
         elif fault.kind is FaultKind.RELOAD:
             self._fleet.write_settings(address)
             self._fleet.signal(address, signal.SIGHUP)
@@ -144,6 +158,14 @@
                 DRAIN_DURATION_S, partial(self._crash_upstream, address, duration_s)
             )
 
+    def _publish_foreign_entry(self, address: str, fault: Fault) -> None:
+        """Publish an entry of another writer for the VM at ``address``, and remove it later."""
+        name = f"other-writer-{fault.at}"
+        variant = _FOREIGN_VARIANTS[int(fault.target * 1_000) % len(_FOREIGN_VARIANTS)]
+        entry = make_entry(address, slots=1, service=self._fleet.service(address))
+        self._fleet.platform.put(replace(entry, name=name, **variant))
+        self._loop.call_later(fault.duration_s, partial(self._fleet.platform.remove, name))
+
     def _resume_platform(self) -> None:
         self._fleet.platform.is_unresponsive = False
 
--- a/libs/standins/src/laburnumbridge/standins/flows/fault_schedule.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_schedule.py
@@ -31,6 +31,8 @@
     PLATFORM_FORGETS = "platform_forgets"
     PLATFORM_RESTORED = "platform_restored"
     CONFIGURE = "configure"
+    MOVE_ROUTE = "move_route"
+    FOREIGN_ENTRY = "foreign_entry"
     RELOAD = "reload"
     PROXY_DELAY = "proxy_delay"
     PROXY_RESET = "proxy_reset"
--- a/libs/standins/src/laburnumbridge/standins/flows/fault_soak.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_soak.py
@@ -27,7 +27,7 @@
     from laburnumbridge.standins.flows.client_stand_in import ClientFlow
 
 BALANCERS = 4
-AGENTS = 6
+AGENTS = 8
 REQUEST_INTERVAL_S = 0.01
 """A hundred requests a second, which occupy a tenth of the slots of each upstream."""
 LONG_FLOWS = 20
--- a/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
@@ -22,7 +22,9 @@
 from laburnumbridge.standins.flows.process_settings import OUTPUT_PORT
 from laburnumbridge.standins.flows.process_settings import PACKET_PORT
 from laburnumbridge.standins.flows.process_settings import READY_PORT
+from laburnumbridge.standins.flows.process_settings import SECOND_SERVICE_NAME
 from laburnumbridge.standins.flows.process_settings import SERVICE
+from laburnumbridge.standins.flows.process_settings import SERVICE_NAME
 from laburnumbridge.standins.flows.process_settings import UPSTREAM_PORT
 from laburnumbridge.standins.flows.process_settings import process_settings
 from laburnumbridge.standins.flows.readiness_checks import ReadinessChecks
@@ -40,6 +42,7 @@
 SEED_COUNT = 3
 PLATFORM_PORT = 8169
 FIRST_PROXY_PORT = 9_000
+SECOND_SERVICE_AGENTS = 2
 SLOTS = 4
 WORK_S = 0.02
 
@@ -49,6 +52,7 @@
 
     Each process connects to the platform and the seeds through its own fault proxies.
     ``all_upstreams`` lists every upstream in the order of starts, also those that have crashed.
+    The last ``SECOND_SERVICE_AGENTS`` agents are beside upstreams of the second service.
     """
 
     def __init__(
@@ -87,12 +91,13 @@
         self._process_by_address: dict[str, subprocess.Popen[bytes]] = {}
         self._starts_by_address: Counter[str] = Counter()
         self.version = 1
+        self._routed_service = SERVICE_NAME
 
     def start(self) -> None:
         """Start everything without waiting; the caller waits for ``ready_balancers``."""
         self.platform.start()
         self.client.start()
-        self.platform.configure(make_configuration(self.version, (SERVICE,)))
+        self._publish_configuration()
         for address in self.agents:
             self.start_upstream(address)
         for address in (*self.balancers, *self.agents):
@@ -126,11 +131,17 @@
     def configure(self) -> None:
         """Publish the next version of the configuration, with one more route."""
         self.version += 1
-        self.platform.configure(make_configuration(self.version, self._endpoints))
+        self._publish_configuration()
+
+    def move_route(self) -> None:
+        """Move the routes to the other service; open flows stay where they are."""
+        is_first = self._routed_service == SERVICE_NAME
+        self._routed_service = SECOND_SERVICE_NAME if is_first else SERVICE_NAME
+        self.configure()
 
     def republish(self) -> None:
         """Write again what the operator and the running upstreams have written."""
-        self.platform.configure(make_configuration(self.version, self._endpoints))
+        self._publish_configuration()
         for address, upstream in self.upstream_by_address.items():
             if upstream.is_running:
                 self.register_upstream(address, is_draining=not upstream.accepts)
@@ -141,9 +152,17 @@
             if not upstream.is_running and entry_name(address) in self.platform.entry_by_name:
                 self.deregister_upstream(address)
 
-    @property
-    def _endpoints(self) -> tuple[Endpoint, ...]:
-        return (SERVICE, ("198.18.0.2", 1_000 + self.version))
+    def _publish_configuration(self) -> None:
+        endpoints = (SERVICE, ("198.18.0.2", 1_000 + self.version))
+        weight_by_service = {self._routed_service: 1}
+        self.platform.configure(
+            make_configuration(self.version, endpoints, weight_by_service=weight_by_service)
+        )
+
+    def service(self, address: str) -> str:
+        """Return the service of the upstream at ``address``."""
+        is_second = address in self.agents[-SECOND_SERVICE_AGENTS:]
+        return SECOND_SERVICE_NAME if is_second else SERVICE_NAME
 
     def start_upstream(self, address: str) -> None:
         """Start a new upstream at ``address`` and register it."""
@@ -165,7 +184,13 @@
         """Write the entry of the upstream at ``address``."""
         # The ordinal number of the start replaces its time.
         started_ms = 1 + self.all_upstreams.index(self.upstream_by_address[address])
-        entry = make_entry(address, slots=SLOTS, is_draining=is_draining, started_ms=started_ms)
+        entry = make_entry(
+            address,
+            slots=SLOTS,
+            is_draining=is_draining,
+            started_ms=started_ms,
+            service=self.service(address),
+        )
         self.platform.put(entry)
 
     def deregister_upstream(self, address: str) -> None:
@@ -185,7 +210,11 @@
             previous_seeds = msgspec.json.decode(path.read_bytes())["seeds"]
             seeds = [*previous_seeds[1:], previous_seeds[0]]
         settings = process_settings(
-            address, platform=proxies[0].endpoint, seeds=seeds, is_agent=is_agent
+            address,
+            platform=proxies[0].endpoint,
+            seeds=seeds,
+            is_agent=is_agent,
+            service=self.service(address),
         )
         path.write_bytes(msgspec.json.encode(settings))
 
