Measure searches in the product's own order

The benchmark of searches computed the order of search itself, as it was before open flows were searched beyond the service of their route.

Change: it walks SearchOrder, and also measures flows whose route has moved to another service.

--- a/libs/standins/src/laburnumbridge/standins/benchmarks/flow_search.py
+++ b/libs/standins/src/laburnumbridge/standins/benchmarks/flow_search.py
@@ -14,6 +14,9 @@
 from laburnumbridge.flows import FlowKey
 from laburnumbridge.flows import FlowTracker
 from laburnumbridge.flows import OutlierDetector
+from laburnumbridge.flows import SearchOrder
+from laburnumbridge.flows import SearchStep
+from laburnumbridge.flows.peer_datagrams import SearchStage
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -22,7 +25,8 @@
 
 SIZES = (10, 100, 1_000)
 FLOWS = 200
-DIRECTORY_NODES = 2
+SERVICE_PERCENT = 80
+"""Agents of the service of the route, of all agents, as on the users' deployments."""
 TABLE_FLOWS = 20_000
 
 _RESIDENT = (
@@ -38,36 +42,51 @@
 
     def run(self) -> Mapping[str, Figure]:
         """Measure hops at several sizes, bytes a flow and the memory of a process."""
-        with_records: dict[str, Figure] = {}
-        walks: dict[str, Figure] = {}
-        for size in SIZES:
-            agents = [f"10.{number >> 8}.{number & 255}.1" for number in range(size)]
-            hops = sorted(self._hops(agents, number, DIRECTORY_NODES) for number in range(FLOWS))
-            with_records[str(size)] = [hops[FLOWS // 2], hops[FLOWS * 99 // 100]]
-            hops_without_records = sorted(self._hops(agents, number, 0) for number in range(FLOWS))
-            walks[str(size)] = [
-                hops_without_records[FLOWS // 2],
-                hops_without_records[FLOWS * 99 // 100],
-            ]
         return {
-            "flow_search_hops": with_records,
-            "flow_search_hops_without_records": walks,
+            "flow_search_hops": self._hops_by_size(has_records=True, is_moved=False),
+            "flow_search_hops_without_records": self._hops_by_size(
+                has_records=False, is_moved=False
+            ),
+            "flow_search_hops_moved_route": self._hops_by_size(has_records=True, is_moved=True),
+            "flow_search_hops_moved_route_without_records": self._hops_by_size(
+                has_records=False, is_moved=True
+            ),
             "flow_table_bytes": self._table_bytes(),
             "flow_directory_bytes": self._directory_bytes(),
             "forward_process_mb": round(self._process_kb() / 1024, 1),
         }
 
+    @classmethod
+    def _hops_by_size(cls, *, has_records: bool, is_moved: bool) -> dict[str, Figure]:
+        """Return the median and the 99th percentile of the hops, by number of agents."""
+        figures: dict[str, Figure] = {}
+        for size in SIZES:
+            agents = [f"10.{number >> 8}.{number & 255}.1" for number in range(size)]
+            hops = sorted(
+                cls._hops(agents, number, has_records=has_records, is_moved=is_moved)
+                for number in range(FLOWS)
+            )
+            figures[str(size)] = [hops[FLOWS // 2], hops[FLOWS * 99 // 100]]
+        return figures
+
     @staticmethod
-    def _hops(agents: list[str], number: int, directory_nodes: int) -> int:
+    def _hops(agents: list[str], number: int, *, has_records: bool, is_moved: bool) -> int:
+        """Return the hops to the agent of a flow, of another service if its route has moved."""
         flow = FlowKey(number.to_bytes(12, "big"))
-        ranking = AgentRanking(agents=agents)
-        holder = agents[(number * 7919) % len(agents)]
-        directory_agents = set(ranking.directory_nodes(flow, directory_nodes))
-        agent = ranking.first(flow)
+        service = agents[: len(agents) * SERVICE_PERCENT // 100]
+        holders = agents[len(service) :] if is_moved else service
+        holder = holders[(number * 7919) % len(holders)]
+        order = SearchOrder(
+            agents=AgentRanking(agents=agents), service_agents=AgentRanking(agents=service)
+        )
+        step = order.first_step(flow)
         hops = 1
-        while agent is not None and agent != holder:
+        while step is not None and step.agent != holder:
             hops += 1
-            agent = holder if agent in directory_agents else ranking.next_after(flow, agent)
+            if has_records and step.stage is SearchStage.DIRECTORY:
+                step = SearchStep(agent=holder, stage=SearchStage.RECORDED)
+            else:
+                step = order.next_step(flow, agent=step.agent, stage=step.stage)
         return hops
 
     @staticmethod
