Move the agent's admission into a class of its own

New decisions on overload are to be added to the admission only.

The time for which the entry address of a packet is kept got its own constant, with the value it had.

--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -15,12 +15,9 @@
 from laburnumbridge.flows import FlowTracker
 from laburnumbridge.flows import MalformedPacketError
 from laburnumbridge.flows import MalformedPeerDatagramError
-from laburnumbridge.flows import OpeningDeadline
-from laburnumbridge.flows import OpeningQueue
 from laburnumbridge.flows import OutlierDetector
 from laburnumbridge.flows import UpstreamSelector
 from laburnumbridge.flows.peer_datagrams import FLOWS_PER_DATAGRAM
-from laburnumbridge.flows.peer_datagrams import MAX_TRIED
 from laburnumbridge.flows.peer_datagrams import DatagramKind
 from laburnumbridge.flows.peer_datagrams import Envelope
 from laburnumbridge.flows.peer_datagrams import FlowLocationUpdate
@@ -32,6 +29,7 @@
 from laburnumbridge.flows.peer_datagrams import encode_envelope
 from laburnumbridge.flows.peer_datagrams import encode_load
 from laburnumbridge.flows.peer_datagrams import encode_locations
+from laburnumbridge.forwarding.admission_control import AdmissionControl
 from laburnumbridge.forwarding.endpoints import parse_endpoint
 from laburnumbridge.forwarding.flow_search import FlowSearch
 from laburnumbridge.forwarding.forwarding_process import STOP_MARGIN_S
@@ -39,7 +37,6 @@
 from laburnumbridge.forwarding.forwarding_process import flow_text
 from laburnumbridge.forwarding.load_reporter import REPORT_INTERVAL_S
 from laburnumbridge.forwarding.load_reporter import LoadReporter
-from laburnumbridge.forwarding.service_directory import service_tag
 from laburnumbridge.forwarding.upstream_watch import UpstreamWatch
 
 if TYPE_CHECKING:
@@ -53,14 +50,8 @@
 """Ten times the connections that an upstream holds; closed flows stay in the table for a time."""
 DEFAULT_IDLE_S = 15.0
 """Idle time-out of flows until a configuration is received."""
-OVERRIDABLE_REASONS = ("busy", "failing")
-"""If no other agent is left, this agent takes an opening packet despite these reasons."""
-HANDOVER_TTL_S = 3.0
-"""Longer than the time in which an opening packet's copies arrive and the first agent forwards the
-answer."""
-MAX_HANDOVERS = 3
-"""After this many handovers a busy agent takes the opening packet: a fifth agent would hardly be
-free."""
+ENTRY_ADDRESS_TTL_S = 3.0
+"""The upstream answers a packet of a flow that it holds within this time."""
 MAX_RECORD_HOPS = 8
 """Records of handovers and locations are followed this far: an opening packet is handed over three
 times, and again each time that it has waited. Copies of it go different ways, so that the records
@@ -73,15 +64,6 @@
 DEFAULT_SLOTS = 16
 """Slots assumed until the upstream's entry is received: openings needn't be held back then, since
 the upstream has a queue of its own."""
-HELD_OPENINGS_LIMIT = 256
-"""At 5 ms a request an upstream runs fewer openings than this within ``MAX_WAIT_S``."""
-SLOTS_PER_SPARE_REQUEST = 4
-"""An upstream gets one request above its slots for this many slots. A handshake takes about 5 ms, a
-tenth of a request, so a quarter more than the slots covers it."""
-ARRIVING_PER_SLOT = 16
-"""Requests that may arrive at a time for each slot. With uploads of a second each this is a third
-of what a slot runs at 20 ms a request. If more are complete at once than the upstream queues, it
-rejects the rest, which have not run."""
 UPKEEP_INTERVAL_S = 0.05
 EXPIRY_INTERVAL_S = 0.5
 STOP_WAIT_S = 0.3
@@ -103,7 +85,6 @@
         assert upstream is not None, "an agent's settings name its upstream"
         self._upstream_endpoint = parse_endpoint(upstream.endpoint)
         self._own_service = upstream.service
-        self._own_service_tag = service_tag(upstream.service)
         self._outputs = self.network.datagram_port(
             parse_endpoint(upstream.output_endpoint), self._on_upstream_datagram
         )
@@ -116,11 +97,8 @@
             outlier_detector=self._outlier_detector,
         )
         self._locations = FlowLocations(agent=self.settings.address)
-        self._handover_agent_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
-            ttl_s=HANDOVER_TTL_S, limit=FLOWS_LIMIT
-        )
         self._entry_address_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
-            ttl_s=HANDOVER_TTL_S, limit=FLOWS_LIMIT
+            ttl_s=ENTRY_ADDRESS_TTL_S, limit=FLOWS_LIMIT
         )
         self._selector = UpstreamSelector(seed=hash64(self.settings.process.encode()))
         self._delivered_by_echo: dict[int, tuple[FlowKey, Envelope]] = {}
@@ -129,7 +107,6 @@
             process=self, forward=self._forward, reset=partial(self._reset, reason="not_found")
         )
         self._reporter = LoadReporter(port=self.peers, peer_port=self.settings.peer_port)
-        self._held_openings: OpeningQueue[Envelope] = OpeningQueue(limit=HELD_OPENINGS_LIMIT)
         self._was_listed = False
         self._upstream = UpstreamWatch(
             loop=self.loop,
@@ -139,6 +116,18 @@
             metrics=self.metrics,
             on_down=self._on_upstream_down,
         )
+        self._admission = AdmissionControl(
+            process=self,
+            service=upstream.service,
+            flows=self._flows,
+            selector=self._selector,
+            outlier_detector=self._outlier_detector,
+            slots=lambda: self._slots,
+            is_available=lambda: self._is_available,
+            admit=self._admit,
+            forward=self._forward,
+            reset=self._reset,
+        )
 
     def start(self) -> None:
         """Open all sockets. Raises OSError."""
@@ -240,32 +229,10 @@
         packet = self.packet_codec.decode_from_client(envelope.raw)
         self._reporter.on_packet(sender[0], now)
         if packet.is_opening:
-            self._on_opening(packet, envelope, now)
+            self._admission.on_opening(packet, envelope, now)
         else:
             self._on_flow_packet(packet, envelope, now)
 
-    def _on_opening(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
-        handover_agent = self._handover_agent_by_flow.get(packet.flow, now)
-        if handover_agent is not None and envelope.hops == 0:
-            if self._selector.is_responsive(handover_agent, now):
-                self._forward(envelope, handover_agent, SearchStage.DIRECT)
-                return
-            envelope = replace(envelope, tried=(handover_agent,))
-        self._flows.settle(now)
-        if packet.flow in self._held_openings:
-            return  # a copy of a packet that is held until a slot is free
-        if self._flows.get(packet.flow) is None:
-            reason = self._reason_to_hand_over(envelope)
-            if reason is not None and self._hand_over(packet, envelope, reason, now):
-                return
-            if reason not in (None, *OVERRIDABLE_REASONS):
-                self._refuse(packet, envelope, reason or "", now)
-                return
-            if not self._has_room:
-                self._hold(packet, envelope, now)
-                return
-        self._admit(packet, envelope, now)
-
     def _admit(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         """Hand an opening packet to the upstream."""
         self._flows.track_opening(packet.flow, now)
@@ -274,132 +241,6 @@
         self._deliver(packet, envelope)
         self._upstream.on_opening(packet.flow, envelope, now)
 
-    @property
-    def _has_room(self) -> bool:
-        """True while the upstream gets openings: a few above its slots cover the handshakes."""
-        limit = self._slots + max(1, self._slots // SLOTS_PER_SPARE_REQUEST)
-        return self._flows.busy < limit and not self._has_full_arrivals
-
-    @property
-    def _has_full_arrivals(self) -> bool:
-        unanswered = self._flows.arriving + self._flows.busy
-        return unanswered >= ARRIVING_PER_SLOT * self._slots
-
-    def _hold(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
-        """Hold an opening packet that no tried agent has taken until a slot is free.
-
-        It is refused at once if its answer would be too late even with a free slot.
-        """
-        route = self.directory.route(packet.flow)
-        deadline = OpeningDeadline.of_copy(
-            packet.copy_number,
-            now,
-            timeout_s=0.0 if route is None else route.timeout_ms / 1000,
-            usual_answer_s=self._outlier_detector.baseline_s,
-        )
-        if deadline.start_by < now:
-            self._reset(packet.flow, packet.acknowledged, "too_late")
-            return
-        self.metrics.count("openings_held_total")
-        self.log.write(
-            Event.FLOW_HELD,
-            flow=flow_text(packet.flow),
-            waiting=len(self._held_openings),
-            busy=self._flows.busy,
-            arriving=self._flows.arriving,
-            slots=self._slots,
-            wait_s=round(deadline.start_by - now, 3),
-        )
-        displaced = self._held_openings.put(packet.flow, envelope, deadline)
-        if displaced is not None:
-            self._reset(displaced.flow, 0, "queue_full")
-
-    def _admit_held(self, now: float) -> None:
-        """Hand held packets to the upstream while it is below its limit, the newest first."""
-        while self._is_available and self._has_room:
-            waiting = self._held_openings.pop_newest()
-            if waiting is None:
-                return
-            packet = self.packet_codec.decode_from_client(waiting.item.raw)
-            self.metrics.observe("opening_wait_seconds", now - waiting.deadline.since)
-            self._admit(packet, waiting.item, now)
-
-    def _hand_over_held(self, now: float) -> None:
-        """Hand held packets over to agents that became idle; refuse those that can't be in time."""
-        self._hand_over_to_idle(now)
-        interval_s = self._outlier_detector.baseline_s / self._slots if self._is_available else 0.0
-        for waiting in self._held_openings.expire(now, start_interval_s=interval_s):
-            self._reset(waiting.flow, 0, "queue_timeout")
-
-    def _hand_over_to_idle(self, now: float) -> None:
-        own_address = self.settings.address
-        others = self.directory.candidates(self._own_service_tag, now)
-        while self._held_openings:
-            if self._is_available:
-                agent = self._selector.choose_idle(others, now=now, excluded=(own_address,))
-            else:
-                agent = self._selector.choose(
-                    others, is_long=False, now=now, excluded=(own_address,)
-                )
-            waiting_newest = self._held_openings.pop_newest() if agent is not None else None
-            if agent is None or waiting_newest is None:
-                return
-            envelope = replace(waiting_newest.item, tried=())
-            self._send_handover(waiting_newest.flow, envelope, agent, "waiting", now)
-
-    def _refuse_held(self) -> None:
-        """Refuse the held packets that no other agent could take; nothing has run."""
-        while (waiting := self._held_openings.pop_newest()) is not None:
-            self._reset(waiting.flow, 0, "stopping")
-
-    def _reason_to_hand_over(self, envelope: Envelope) -> str | None:
-        if envelope.service_tag != self._own_service_tag:
-            return "other_service"
-        if not self._is_available:
-            return "unavailable"
-        is_busy = self._flows.busy >= self._slots or self._has_full_arrivals
-        if is_busy and len(envelope.tried) < MAX_HANDOVERS:
-            return "busy"
-        if not envelope.tried and self._outlier_detector.is_failing(self.loop.now()):
-            return "failing"
-        return None
-
-    def _hand_over(self, packet: FlowPacket, envelope: Envelope, reason: str, now: float) -> bool:
-        if len(envelope.tried) >= MAX_TRIED:
-            return False
-        others = self.directory.candidates(envelope.service_tag, now)
-        own_address = self.settings.address
-        agent = self._selector.choose(
-            others, is_long=False, now=now, excluded=(own_address, *envelope.tried)
-        )
-        if agent is None and reason not in OVERRIDABLE_REASONS:
-            # All others were tried; one that was only busy may take the packet now.
-            agent = self._selector.choose(others, is_long=False, now=now, excluded=(own_address,))
-        if agent is None:
-            return False
-        self._send_handover(packet.flow, envelope, agent, reason, now)
-        return True
-
-    def _send_handover(
-        self, flow: FlowKey, envelope: Envelope, agent: str, reason: str, now: float
-    ) -> None:
-        """Forward an opening packet to ``agent``, and record that for the packet's copies."""
-        self._selector.on_sent(agent, now)
-        self._handover_agent_by_flow.put(flow, agent, now)
-        self.metrics.count("flows_handed_over_total", reason)
-        self.log.write(
-            Event.FLOW_HANDED_OVER,
-            outcome=reason,
-            flow=flow_text(flow),
-            agent=agent,
-            hops=envelope.hops,
-            busy=self._flows.busy,
-            slots=self._slots,
-            revision=self.view.catalog.revision,
-        )
-        tried = (*envelope.tried, self.settings.address)
-        self._forward(replace(envelope, tried=tried), agent, SearchStage.DIRECT)
-
     def _on_flow_packet(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         if self._flows.track_client_packet(packet, now):
             if envelope.stage is not SearchStage.DIRECT or envelope.hops:
@@ -409,7 +250,7 @@
         if self._search.drop_after_max_hops(packet, envelope):
             return
         if envelope.stage in RECORD_STAGES and envelope.hops < MAX_RECORD_HOPS:
-            agent = self._handover_agent_by_flow.get(packet.flow, now)
+            agent = self._admission.handover_agent(packet.flow, now)
             if envelope.stage is not SearchStage.RECORDED:
                 agent = agent or self._locations.find(packet.flow, now)
             is_other = agent != self.settings.address
@@ -462,8 +303,7 @@
             if entry_address is not None:
                 self._report_location(packet.flow, entry_address)
         self._outputs.send(datagram, self.client_endpoint(packet.flow))
-        if self._held_openings:
-            self._admit_held(now)
+        self._admission.admit_held(now)
 
     def _on_bounced(self, packet: FlowPacket, now: float) -> None:
         flow, delivered = self._delivered_by_echo.get(packet.echo, (None, None))
@@ -479,8 +319,7 @@
         packet = self.packet_codec.decode_from_client(raw)
         if packet.is_opening:
             self._upstream.on_refusal(now)
-            if not self._hand_over(packet, envelope, "refused_by_upstream", now):
-                self._refuse(packet, envelope, "refused_by_upstream", now)
+            self._admission.on_refused_by_upstream(packet, envelope, now)
         elif was_open_here:
             # The flow was open here and its upstream has lost it: no other upstream can hold it.
             if not packet.is_reset:
@@ -488,17 +327,6 @@
         else:
             self._search.forward(packet, envelope, now)
 
-    def _refuse(self, packet: FlowPacket, envelope: Envelope, reason: str, now: float) -> None:
-        """Reset the flow of an opening packet that no agent takes; nothing has run.
-
-        Before this process has a view, other agents may be able to take the packet, so it is held.
-        A packet for another service is never held: held packets go to this agent's upstream.
-        """
-        if self.view.catalog.is_ready or envelope.service_tag != self._own_service_tag:
-            self._reset(packet.flow, packet.acknowledged, reason)
-        else:
-            self._hold(packet, envelope, now)
-
     def _reset(self, flow: FlowKey, acknowledged: int, reason: str) -> None:
         reset = self.reset_flow(flow, acknowledged=acknowledged, reason=reason)
         self._outputs.send(reset, self.client_endpoint(flow))
@@ -507,17 +335,15 @@
 
     def _upkeep(self) -> None:
         now = self.loop.now()
-        if self._held_openings:
-            self._admit_held(now)
-            self._hand_over_held(now)
+        self._admission.upkeep(now)
         for envelope in self._upstream.take_unanswered(now):
             packet = self.packet_codec.decode_from_client(envelope.raw)
-            self._hand_over(packet, envelope, "unanswered", now)
+            self._admission.hand_over(packet, envelope, "unanswered", now)
         if self.is_stopping and not self._upstream.is_probing:
             stopping_s = now - self.stopping_since
             is_complete = self._is_stop_complete(stopping_s)
             if is_complete or stopping_s > STOP_WAIT_S:
-                self._refuse_held()
+                self._admission.refuse_held()
             if is_complete:
                 self.finish()
 
@@ -550,7 +376,7 @@
         now = self.loop.now()
         self._flows.expire(now)
         self._locations.expire(now)
-        self._handover_agent_by_flow.expire(now)
+        self._admission.expire(now)
         self._entry_address_by_flow.expire(now)
         self._reporter.expire(now)
         self._send_records(now)
--- a/libs/forwarding/tests/test_flow_path.py
+++ b/libs/forwarding/tests/test_flow_path.py
@@ -12,7 +12,7 @@
 from laburnumbridge.flows.peer_datagrams import SearchStage
 from laburnumbridge.flows.peer_datagrams import encode_envelope
 from laburnumbridge.forwarding import flow_agent
-from laburnumbridge.forwarding.flow_agent import ARRIVING_PER_SLOT
+from laburnumbridge.forwarding.admission_control import ARRIVING_PER_SLOT
 from laburnumbridge.forwarding.network import StreamEnd
 from laburnumbridge.forwarding.service_directory import service_tag
 from laburnumbridge.standins.flows.process_settings import OTHER_SERVICE
