Read the priority and the target latency of routes

Decisions on order and placement under load need them, and they weren't read. They are part of the view and of updates between processes, with defaults, so a process of the previous version ignores them.

Nothing depends on them yet.

--- a/libs/catalog/src/laburnumbridge/catalog/records.py
+++ b/libs/catalog/src/laburnumbridge/catalog/records.py
@@ -56,7 +56,8 @@
 
     ``is_retryable`` means that requests of the route may be repeated, ``is_transfer`` that each
     flow carries one download or upload. An answer is of use to the client for ``timeout_ms`` after
-    its request, 0 if the platform doesn't say.
+    its request, 0 if the platform doesn't say. The operator wants answers within
+    ``target_latency_ms``, 0 if there is no target. Priority 0 is the highest.
     """
 
     name: str
@@ -66,6 +67,8 @@
     is_retryable: bool
     is_transfer: bool
     timeout_ms: int = 0
+    target_latency_ms: int = 0
+    priority: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
