Read evacuations of failure domains into the view

Cause: the operator's items `op/evacuate/ZONE` weren't read at all, so no process knew that a failure domain was evacuated.

Change: `Evacuations` is a register in which the newest revision wins; at one revision two sets are joined, since the pages of a listing may be read at different revisions. The reader lists the prefix `op/` in place of `op/config`, so a start needs no additional call, and applies the changes of its watches. After a restore a domain that the copy lacks stays evacuated for 2.2 s. A value that isn't a JSON object, or a name that is empty or longer than 255 characters, evacuates nothing and is reported with the malformed items.

Result: before, the items were ignored.

--- a/libs/catalog/src/laburnumbridge/catalog/__init__.py
+++ b/libs/catalog/src/laburnumbridge/catalog/__init__.py
@@ -5,6 +5,8 @@
 from laburnumbridge.catalog.catalog import Catalog
 from laburnumbridge.catalog.errors import MalformedItemError
 from laburnumbridge.catalog.errors import MalformedUpdateError
+from laburnumbridge.catalog.evacuations import EvacuationChange
+from laburnumbridge.catalog.evacuations import Evacuations
 from laburnumbridge.catalog.platform_codec import Listing
 from laburnumbridge.catalog.platform_codec import MalformedAnswerError
 from laburnumbridge.catalog.platform_codec import OutdatedAnswerError
@@ -31,6 +33,8 @@
     "Catalog",
     "CatalogUpdate",
     "ConfigurationChange",
+    "EvacuationChange",
+    "Evacuations",
     "Listing",
     "MalformedAnswerError",
     "MalformedItemError",
--- a/libs/catalog/src/laburnumbridge/catalog/catalog.py
+++ b/libs/catalog/src/laburnumbridge/catalog/catalog.py
@@ -12,11 +12,14 @@
 from laburnumbridge.catalog.departures import has_departed
 from laburnumbridge.catalog.entry_versions import keep_confirmed_state
 from laburnumbridge.catalog.entry_versions import version_key
+from laburnumbridge.catalog.evacuations import REMOVAL_HOLD_S
+from laburnumbridge.catalog.evacuations import EvacuationState
 from laburnumbridge.catalog.records import CatalogUpdate
 from laburnumbridge.catalog.records import UpstreamRemoval
 from laburnumbridge.catalog.revision import NO_REVISION
 
 if TYPE_CHECKING:
+    from laburnumbridge.catalog.evacuations import Evacuations
     from laburnumbridge.catalog.records import ConfigurationChange
     from laburnumbridge.catalog.records import RoutingConfiguration
     from laburnumbridge.catalog.records import UpstreamEntry
@@ -25,9 +28,6 @@
 RETURN_HOLD_S = 4.5
 """How long the entry of an upstream that left before a restore isn't used. An upstream publishes
 its entry every 1.2 s, and the platform removes it after three such intervals of silence."""
-REMOVAL_HOLD_S = 2.2
-"""How long removals are held after an outage, or after the platform was restored from a copy.
-Entries that expired or were lost are published again within 2 s; 0.2 s allow for their delivery."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -87,6 +87,7 @@
         self._held_removal_by_name: dict[str, HeldRemoval] = {}
         self._held_entry_by_name: dict[str, HeldEntry] = {}
         self._departures = Departures()
+        self._evacuation_state = EvacuationState()
         self._era = 0
         self._era_began_at = 0.0
 
@@ -95,6 +96,16 @@
         """Version of the current configuration, or 0 without one."""
         return 0 if self.configuration is None else self.configuration.version
 
+    @property
+    def evacuations(self) -> Evacuations | None:
+        """The newest register of evacuated failure domains, or None before the first one."""
+        return self._evacuation_state.register
+
+    @property
+    def evacuated_domains(self) -> frozenset[str]:
+        """The failure domains whose upstreams get no new flows, with those that are held."""
+        return self._evacuation_state.domains
+
     @property
     def complete_revision(self) -> Revision:
         """Revision up to which the view lacks no change; a change that is held is lacking."""
@@ -128,6 +139,7 @@
         if update.has_changes or update.is_own_reading:
             self._begin_era(update, now)
             self.revision = max(self.revision, update.revision)
+        has_evacuation_change = self._evacuation_state.merge(update.evacuations, now)
         if self._restored_at is not None:
             hold_removals_until = max(hold_removals_until, self._restored_at + REMOVAL_HOLD_S)
         complete_before = self.complete_revision
@@ -148,6 +160,7 @@
             self._new_since(complete_before, entries, removals),
             confirmed_age_ms=update.confirmed_age_ms,
             confirmed_by=update.confirmed_by,
+            has_evacuation_change=has_evacuation_change,
             configuration=configuration,
             configuration_change=change,
             lacks_configuration=is_outdated,
@@ -185,6 +198,7 @@
             present=present,
             entries=tuple(entries),
             removals=tuple(removals),
+            evacuations=self.evacuations,
         )
 
     def _begin_era(self, update: CatalogUpdate, now: float) -> None:
@@ -231,7 +245,11 @@
         for entry in entries:
             self._use(entry)
         self._departures.expire(now)
-        return self._new_since(complete_before, entries, removals)
+        has_evacuation_change = self._evacuation_state.apply_held(now)
+        return replace(
+            self._new_since(complete_before, entries, removals),
+            has_evacuation_change=has_evacuation_change,
+        )
 
     @property
     def _known_entry_by_name(self) -> dict[str, UpstreamEntry]:
@@ -270,6 +288,7 @@
             confirmed_age_ms=None if age_s is None else int(age_s * 1000),
             confirmed_by=self.confirmed_by,
             configuration_version=self.configuration_version,
+            evacuations=self.evacuations,
         )
 
     def _merge_configuration(
--- a/libs/catalog/src/laburnumbridge/catalog/platform_codec.py
+++ b/libs/catalog/src/laburnumbridge/catalog/platform_codec.py
@@ -14,6 +14,7 @@
     from collections.abc import Mapping
 
     from laburnumbridge.catalog.errors import MalformedItemError
+    from laburnumbridge.catalog.evacuations import EvacuationChange
     from laburnumbridge.catalog.records import RoutingConfiguration
     from laburnumbridge.catalog.records import UpstreamEntry
     from laburnumbridge.catalog.records import UpstreamRemoval
@@ -24,7 +25,7 @@
     """The listings that a process reads in full before it watches for changes."""
 
     UPSTREAMS = "upstreams"
-    CONFIGURATION = "configuration"
+    OPERATOR = "operator"  # the configuration and the evacuations
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -33,13 +34,15 @@
 
     All revisions are of the era that the answer names, or of era 0 if it names none. ``next_after``
     is the key after which the next page of a listing starts, or None on the last page.
-    ``malformed`` has an error for each item that can't be used; the other items are valid.
+    ``evacuation_changes`` are in the order of their revisions; in a listing they are the evacuated
+    domains. ``malformed`` has an error for each item that can't be used; the other items are valid.
     """
 
     revision: Revision
     entries: tuple[UpstreamEntry, ...] = ()
     removals: tuple[UpstreamRemoval, ...] = ()
     configuration: RoutingConfiguration | None = None
+    evacuation_changes: tuple[EvacuationChange, ...] = ()
     malformed: tuple[MalformedItemError, ...] = ()
     next_after: str | None = None
 
--- a/libs/catalog/src/laburnumbridge/catalog/read_plan.py
+++ b/libs/catalog/src/laburnumbridge/catalog/read_plan.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from laburnumbridge.catalog.catalog import REMOVAL_HOLD_S
+from laburnumbridge.catalog.evacuations import REMOVAL_HOLD_S
+from laburnumbridge.catalog.evacuations import Evacuations
+from laburnumbridge.catalog.evacuations import apply_evacuation_changes
 from laburnumbridge.catalog.platform_codec import Listing
 from laburnumbridge.catalog.platform_codec import OutdatedAnswerError
 from laburnumbridge.catalog.platform_codec import RevisionCompactedError
@@ -64,11 +66,12 @@
 
     def restart(self) -> None:
         """Restart from a complete listing."""
-        self._pending_listings: list[Listing] = [Listing.CONFIGURATION, Listing.UPSTREAMS]
+        self._pending_listings: list[Listing] = [Listing.OPERATOR, Listing.UPSTREAMS]
         self._after_key: str | None = None
         self._listed_entries: list[UpstreamEntry] = []
         self._first_page_revision: Revision | None = None
         self._era: int | None = None
+        self._evacuated_domains: frozenset[str] = frozenset()
 
     @property
     def is_failing(self) -> bool:
@@ -109,13 +112,16 @@
         self._backoff_s = MIN_BACKOFF_S
         entries = items.entries
         is_listed = False
+        evacuations = None
         if self._pending_listings:
-            self._on_page(items)
+            evacuations = self._on_page(items)
             is_listed = not self._pending_listings
             # The update that makes the view complete has the entries of all pages.
             entries = tuple(self._listed_entries) if is_listed else entries
         else:
             self._watch_after = max(self._watch_after, items.revision)
+            self._apply_evacuation_changes(items)
+            evacuations = self._evacuations_at(items.revision)
         hold_until = 0.0
         if self._recovered_at is not None:
             hold_until = self._recovered_at + REMOVAL_HOLD_S
@@ -131,24 +137,39 @@
                 entries=entries,
                 removals=items.removals,
                 configuration=items.configuration,
+                evacuations=evacuations,
             ),
             now,
             hold_removals_until=hold_until,
         )
 
-    def _on_page(self, items: PlatformItems) -> None:
+    def _apply_evacuation_changes(self, items: PlatformItems) -> None:
+        self._evacuated_domains = apply_evacuation_changes(
+            self._evacuated_domains, items.evacuation_changes
+        )
+
+    def _evacuations_at(self, revision: Revision) -> Evacuations:
+        return Evacuations(revision=revision, domains=tuple(sorted(self._evacuated_domains)))
+
+    def _on_page(self, items: PlatformItems) -> Evacuations | None:
+        """Add a page; return the evacuations if it is the last page of the operator's items."""
         listing = self._pending_listings[0]
         if self._first_page_revision is None:
             # Pages are not a snapshot; a watch from the first page's revision misses no change.
             self._first_page_revision = items.revision
         if listing is Listing.UPSTREAMS:
             self._listed_entries += items.entries
+        else:
+            self._apply_evacuation_changes(items)
         self._after_key = items.next_after
         if items.next_after is not None:
-            return
+            return None
         self._pending_listings.pop(0)
         if not self._pending_listings:
             self._watch_after = self._first_page_revision
+        if listing is Listing.OPERATOR:
+            return self._evacuations_at(self._first_page_revision)
+        return None
 
     def on_failure(self, error: LaburnumbridgeError) -> float:
         """Handle a failed call; return the pause before the next one in seconds."""
--- a/libs/catalog/src/laburnumbridge/catalog/records.py
+++ b/libs/catalog/src/laburnumbridge/catalog/records.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from laburnumbridge.catalog.evacuations import Evacuations
 from laburnumbridge.catalog.revision import NO_REVISION
 from laburnumbridge.catalog.revision import Revision
 
@@ -112,7 +113,9 @@
     update without changes is a heartbeat; it raises the receiver's revision only if
     ``is_own_reading`` is set, which means that the receiver itself read the platform.
     ``configuration_version`` is the sender's version, or 0 without one. ``lacks_configuration``
-    means that the sender can't apply a change and needs the whole configuration.
+    means that the sender can't apply a change and needs the whole configuration. ``evacuations`` is
+    the sender's register, also in a heartbeat, or None if it has none;
+    ``has_evacuation_change`` means that the evacuated domains have changed at the sender.
     """
 
     revision: Revision
@@ -128,10 +131,16 @@
     configuration_change: ConfigurationChange | None = None
     configuration_version: int = 0
     lacks_configuration: bool = False
+    evacuations: Evacuations | None = None
+    has_evacuation_change: bool = False
 
     @property
     def has_changes(self) -> bool:
         """True unless the update is only a heartbeat."""
         return self.present is not None or bool(
-            self.entries or self.removals or self.configuration or self.configuration_change
+            self.entries
+            or self.removals
+            or self.configuration
+            or self.configuration_change
+            or self.has_evacuation_change
         )
--- a/libs/catalog/tests/test_read_plan.py
+++ b/libs/catalog/tests/test_read_plan.py
@@ -47,7 +47,7 @@
 class TestListing:
     def test_both_listings_precede_the_watch(self, plan):
         # Guards against a process that watches for changes without the entries from before.
-        assert plan.next_call().listing is Listing.CONFIGURATION
+        assert plan.next_call().listing is Listing.OPERATOR
         plan.on_items(PlatformItems(revision=at(5), configuration=CONFIGURATION), 0.0)
         assert plan.next_call().listing is Listing.UPSTREAMS
         plan.on_items(PlatformItems(revision=at(6), entries=(ENTRY,)), 0.0)
@@ -107,7 +107,7 @@
         # Guards against a second without updates after each compaction.
         list_all(plan, ENTRY, revision=at(6), now=0.0)
         assert plan.on_failure(RevisionCompactedError(status=410)) == 0.0
-        assert plan.next_call().listing is Listing.CONFIGURATION
+        assert plan.next_call().listing is Listing.OPERATOR
 
     def test_a_failed_watch_resumes_at_its_revision(self, plan):
         # Guards against a complete listing after each lost answer.
@@ -142,7 +142,7 @@
         later = replace(OTHER, revision=at(9, era=2))
         items = PlatformItems(revision=at(9, era=2), entries=(later,))
         assert not plan.on_items(items, 1.0).has_changes
-        assert plan.next_call().listing is Listing.CONFIGURATION
+        assert plan.next_call().listing is Listing.OPERATOR
         list_all(plan, replace(ENTRY, revision=at(2, era=2)), later, revision=at(9, era=2), now=1.0)
         assert plan.next_call().after_revision == 9
         assert catalog.complete_revision == at(9, era=2)
@@ -152,7 +152,7 @@
         plan.on_items(PlatformItems(revision=at(5), configuration=CONFIGURATION), 0.0)
         plan.on_items(PlatformItems(revision=at(5), entries=(ENTRY,), next_after="up-1"), 0.0)
         plan.on_items(PlatformItems(revision=at(4, era=2), entries=(OTHER,)), 0.0)
-        assert plan.next_call().listing is Listing.CONFIGURATION
+        assert plan.next_call().listing is Listing.OPERATOR
         assert catalog.complete_revision == NO_REVISION
 
     def test_an_answer_from_an_earlier_era_changes_nothing(self, plan, catalog):
--- a/libs/standins/src/laburnumbridge/standins/flows/platform_stand_in.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/platform_stand_in.py
@@ -11,6 +11,7 @@
 import h11
 import msgspec
 
+from laburnumbridge.catalog import EvacuationChange
 from laburnumbridge.catalog import Listing
 from laburnumbridge.catalog import PlatformCodec
 from laburnumbridge.catalog import PlatformItems
@@ -41,6 +42,7 @@
     entries: list[UpstreamEntry]
     removals: list[UpstreamRemoval]
     configuration: RoutingConfiguration | None
+    evacuation_changes: list[EvacuationChange]
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -52,6 +54,7 @@
     configuration: RoutingConfiguration | None
     configuration_revision: int
     removals: tuple[UpstreamRemoval, ...]
+    evacuation_by_domain: dict[str, tuple[EvacuationChange, int]]
 
 
 class StandInPlatformCodec(PlatformCodec):
@@ -84,6 +87,7 @@
                 for removal in decoded.removals
             ),
             configuration=decoded.configuration,
+            evacuation_changes=tuple(decoded.evacuation_changes),
         )
 
     def decode_watch(self, status: int, headers: Mapping[str, str], body: bytes) -> PlatformItems:
@@ -108,6 +112,7 @@
         self.configuration: RoutingConfiguration | None = None
         self._configuration_revision = 0
         self._removals: list[UpstreamRemoval] = []
+        self._evacuation_by_domain: dict[str, tuple[EvacuationChange, int]] = {}
         self._oldest_revision = 0
         self._waiting_watches: list[_Connection] = []
         self.is_unresponsive = False
@@ -147,6 +152,13 @@
         self._configuration_revision = self.revision
         self._answer_watches()
 
+    def evacuate(self, domain: str, *, is_evacuated: bool = True) -> None:
+        """Write or remove the item that evacuates ``domain``, and answer the watches."""
+        self.revision += 1
+        change = EvacuationChange(domain=domain, is_evacuated=is_evacuated)
+        self._evacuation_by_domain[domain] = (change, self.revision)
+        self._answer_watches()
+
     def compact(self) -> None:
         """Compact the history; watches from earlier revisions, also waiting ones, get 410."""
         self._oldest_revision = self.revision + 1
@@ -161,6 +173,7 @@
             configuration=self.configuration,
             configuration_revision=self._configuration_revision,
             removals=tuple(self._removals),
+            evacuation_by_domain=dict(self._evacuation_by_domain),
         )
 
     def restore(self, copy: PlatformCopy) -> None:
@@ -171,6 +184,7 @@
         self.configuration = copy.configuration
         self._configuration_revision = copy.configuration_revision
         self._removals = list(copy.removals)
+        self._evacuation_by_domain = dict(copy.evacuation_by_domain)
         self._waiting_watches.clear()
 
     def changes_after(self, revision: int) -> bytes | None:
@@ -182,15 +196,27 @@
             ],
             removals=[removal for removal in self._removals if removal.revision.number > revision],
             configuration=(self.configuration if self._configuration_revision > revision else None),
+            evacuation_changes=[
+                change
+                for change, changed in self._evacuation_by_domain.values()
+                if changed > revision
+            ],
         )
-        if not body.entries and not body.removals and body.configuration is None:
+        has_changes = body.entries or body.removals or body.evacuation_changes
+        if not has_changes and body.configuration is None:
             return None
         return msgspec.json.encode(body)
 
     def empty_body(self) -> bytes:
         """Return the body of a watch that ends without a change."""
         return msgspec.json.encode(
-            _Body(revision=self._current, entries=[], removals=[], configuration=None)
+            _Body(
+                revision=self._current,
+                entries=[],
+                removals=[],
+                configuration=None,
+                evacuation_changes=[],
+            )
         )
 
     def answer(self, connection: _Connection, target: str) -> None:
@@ -212,6 +238,11 @@
                 entries=list(self.entry_by_name.values()) if is_upstreams else [],
                 removals=[],
                 configuration=None if is_upstreams else self.configuration,
+                evacuation_changes=[
+                    change
+                    for change, _ in self._evacuation_by_domain.values()
+                    if change.is_evacuated and not is_upstreams
+                ],
             )
             connection.schedule_answer(200, msgspec.json.encode(body))
             return
