Open no flow in an evacuated failure domain

Change: the directory's candidates leave out evacuated domains, for balancers and agents. An agent whose domain is evacuated hands over openings, also those that it holds, and reports that it isn't available. It refuses one (`evacuated`) only if no upstream is left elsewhere, or after 24 forwardings, which bounds a packet that two agents with contradicting views pass to and fro. A balancer without a candidate resets with the same reason. `SimulatedFleet` spreads processes and upstreams over several failure domains.

Result: on the simulated fleet no opening reaches the domain with a reader cut off, an outdated balancer, all balancers restarted, or a restore from a copy without the item; two evacuated domains with nothing left refuse at once.

--- a/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
@@ -40,6 +40,10 @@
 SLOTS_PER_SPARE_REQUEST = 4
 """An upstream gets one request above its slots for this many slots. A handshake takes about 5 ms, a
 tenth of a request, so a quarter more than the slots covers it."""
+MAX_EVACUATION_HOPS = 24
+"""An opening packet of an evacuated domain is handed over until it has been forwarded this often.
+While two agents have views of different age, each may take the other's domain for the usable one.
+"""
 ARRIVING_PER_SLOT = 16
 """Requests that may arrive at a time for each slot. With uploads of a second each this is a third
 of what a slot runs at 20 ms a request. If more are complete at once than the upstream queues, it
@@ -49,9 +53,10 @@
 class AdmissionControl:
     """Admits opening packets to an upstream, holds them, hands them over or refuses them.
 
-    ``slots`` returns the requests that the upstream runs at once, and ``is_available`` whether it
-    takes new flows. ``admit`` hands a packet to the upstream, ``forward`` sends it to another
-    agent, and ``reset`` resets a flow with an acknowledged sequence number and a reason.
+    ``slots`` returns the requests that the upstream runs at once, ``is_available`` whether it takes
+    new flows, and ``is_evacuated`` whether its failure domain is evacuated. ``admit`` hands a
+    packet to the upstream, ``forward`` sends it to another agent, and ``reset`` resets a flow with
+    an acknowledged sequence number and a reason.
     """
 
     def __init__(
@@ -64,6 +69,7 @@
         outlier_detector: OutlierDetector,
         slots: Callable[[], int],
         is_available: Callable[[], bool],
+        is_evacuated: Callable[[], bool],
         admit: Callable[[FlowPacket, Envelope, float], None],
         forward: Callable[[Envelope, str, SearchStage], None],
         reset: Callable[[FlowKey, int, str], None],
@@ -75,6 +81,7 @@
         self._outlier_detector = outlier_detector
         self._slots = slots
         self._is_available = is_available
+        self._is_evacuated = is_evacuated
         self._admit = admit
         self._forward = forward
         self._reset = reset
@@ -132,6 +139,9 @@
             return
         self.admit_held(now)
         self._hand_over_to_idle(now)
+        if self._is_evacuated() and self._process.view.catalog.is_ready:
+            self._refuse_all_held("evacuated")
+            return
         is_available = self._is_available()
         interval_s = self._outlier_detector.baseline_s / self._slots() if is_available else 0.0
         for waiting in self._held_openings.expire(now, start_interval_s=interval_s):
@@ -139,8 +149,11 @@
 
     def refuse_held(self) -> None:
         """Refuse the held packets that no other agent could take; nothing has run."""
+        self._refuse_all_held("stopping")
+
+    def _refuse_all_held(self, reason: str) -> None:
         while (waiting := self._held_openings.pop_newest()) is not None:
-            self._reset(waiting.flow, 0, "stopping")
+            self._reset(waiting.flow, 0, reason)
 
     def expire(self, now: float) -> None:
         """Drop expired records of handovers."""
@@ -149,6 +162,11 @@
     def hand_over(self, packet: FlowPacket, envelope: Envelope, reason: str, now: float) -> bool:
         """Send an opening packet to another agent; return False if there is none to send it to."""
         if len(envelope.tried) >= MAX_TRIED:
+            if reason != "evacuated":
+                return False
+            # Any upstream elsewhere is preferred to a refusal, also one that was busy before.
+            envelope = replace(envelope, tried=())
+        if reason == "evacuated" and envelope.hops >= MAX_EVACUATION_HOPS:
             return False
         others = self._process.directory.candidates(envelope.service_tag, now)
         own_address = self._process.settings.address
@@ -218,11 +236,14 @@
             if agent is None or waiting_newest is None:
                 return
             envelope = replace(waiting_newest.item, tried=())
-            self._send_handover(waiting_newest.flow, envelope, agent, "waiting", now)
+            reason = "evacuated" if self._is_evacuated() else "waiting"
+            self._send_handover(waiting_newest.flow, envelope, agent, reason, now)
 
     def _reason_to_hand_over(self, envelope: Envelope, now: float) -> str | None:
         if envelope.service_tag != self._service_tag:
             return "other_service"
+        if self._is_evacuated():
+            return "evacuated"
         if not self._is_available():
             return "unavailable"
         is_busy = self._flows.busy >= self._slots() or self._has_full_arrivals
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -124,6 +124,7 @@
             outlier_detector=self._outlier_detector,
             slots=lambda: self._slots,
             is_available=lambda: self._is_available,
+            is_evacuated=lambda: self._is_evacuated,
             admit=self._admit,
             forward=self._forward,
             reset=self._reset,
@@ -193,9 +194,22 @@
         """
         if self.is_stopping or not self._upstream.is_usable(self.loop.now()):
             return False
+        if self._is_evacuated:
+            return False
         entry = self._own_entry
         return not self._was_listed if entry is None else not entry.is_draining
 
+    @property
+    def _is_evacuated(self) -> bool:
+        """True while the failure domain of this agent or of its upstream's entry is evacuated."""
+        evacuated = self.view.catalog.evacuated_domains
+        if not evacuated:
+            return False
+        entry = self._own_entry
+        return self.settings.failure_domain in evacuated or (
+            entry is not None and entry.failure_domain in evacuated
+        )
+
     @property
     def _slots(self) -> int:
         entry = self._own_entry
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -177,7 +177,8 @@
         )
         agent = agent or located_agent
         if agent is None:
-            self._reset(packet, "no_upstream")
+            is_evacuated = self.directory.is_evacuated(tag)
+            self._reset(packet, "evacuated" if is_evacuated else "no_upstream")
             return
         self._agent_by_flow.put(packet.flow, agent, now)
         self.metrics.count("flows_placed_total")
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -150,12 +150,25 @@
             agents=self.agent_ranking, service_agents=self._ranking_by_tag.get(tag, _NO_AGENTS)
         )
 
+    def is_evacuated(self, tag: int) -> bool:
+        """Return whether a service has upstreams that don't drain, all in evacuated domains."""
+        evacuated = self._catalog.evacuated_domains
+        domains = {
+            entry.failure_domain
+            for entry in self._entries_by_tag.get(tag, ())
+            if not entry.is_draining
+        }
+        return bool(domains) and domains <= evacuated
+
     def candidates(self, tag: int, now: float) -> list[Candidate]:
         """Return the agents of a service that have an upstream which isn't draining.
 
+        Upstreams in evacuated failure domains are left out, also if there are no others.
+
         If the entries of an address contradict each other, its agent decides: it knows the port of
         its upstream, and hands over what that doesn't take.
         """
+        evacuated = self._catalog.evacuated_domains
         candidate_by_agent = {
             entry.address: Candidate(
                 agent=entry.address,
@@ -168,6 +181,6 @@
                 ),
             )
             for entry in self._entries_by_tag.get(tag, ())
-            if not entry.is_draining
+            if not entry.is_draining and entry.failure_domain not in evacuated
         }
         return list(candidate_by_agent.values())
--- /dev/null
+++ b/libs/forwarding/tests/test_evacuation.py
@@ -0,0 +1,188 @@
+from __future__ import annotations
+
+import pytest
+
+from laburnumbridge.catalog.evacuations import EvacuationState
+from laburnumbridge.core import Event
+from laburnumbridge.standins.flows.process_settings import PEER_PORT
+from laburnumbridge.standins.flows.process_settings import SERVICE
+from laburnumbridge.standins.flows.simulated_fleet import SimulatedFleet
+
+DOMAINS = ("north", "south")
+EVACUATE_S = 5.0  # from the operator's write until no opening reaches the domain
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    fleet = SimulatedFleet(directory=tmp_path, failure_domains=DOMAINS)
+    fleet.start()
+    return fleet
+
+
+def openings(fleet, domain):
+    return sum(
+        len(upstream.openings)
+        for address, upstream in fleet.upstream_by_address.items()
+        if fleet.failure_domain(address) == domain
+    )
+
+
+def open_flows(fleet, count=20, interval_s=0.02):
+    flows = []
+    for _ in range(count):
+        flows.append(fleet.client.open_flow(SERVICE))
+        flows[-1].request(b"r" + flows[-1].key)
+        fleet.simulation.run_for(interval_s)
+    return flows
+
+
+class OutdatedState(EvacuationState):
+    """Evacuations of a process that hears of no change."""
+
+    def merge(self, register, now):
+        return False
+
+
+def freeze_evacuations(fleet, address, *domains):
+    state = fleet.process_by_address[address].view.catalog._evacuation_state = OutdatedState()
+    state.domains = frozenset(domains)
+
+
+def assert_nothing_opens(fleet, domain, **options):
+    before = openings(fleet, domain)
+    flows = open_flows(fleet, **options)
+    fleet.simulation.run_for(1.0)
+    assert openings(fleet, domain) == before
+    assert all(len(flow.answers) == 1 for flow in flows)
+
+
+class TestEvacuation:
+    def test_new_flows_avoid_the_domain_and_open_flows_stay(self, fleet):
+        # Guards against openings in an evacuated domain, against open flows that are reset by an
+        # evacuation, and against a domain that stays out of use after it.
+        opened = open_flows(fleet)
+        fleet.simulation.run_for(0.5)
+        fleet.platform.evacuate("north")
+        fleet.simulation.run_for(1.0)
+        assert_nothing_opens(fleet, "north")
+        for flow in opened:
+            flow.request(b"second" + flow.key)
+        fleet.simulation.run_for(2.0)
+        assert all(len(flow.answers) == 2 for flow in opened)
+        fleet.platform.evacuate("north", is_evacuated=False)
+        fleet.simulation.run_for(3.0)
+        before = openings(fleet, "north")
+        open_flows(fleet)
+        assert openings(fleet, "north") > before
+
+    def test_held_openings_are_handed_over(self, tmp_path):
+        # Guards against an opening that starts in the domain after it was evacuated, since it was
+        # held there until a slot was free.
+        fleet = SimulatedFleet(
+            directory=tmp_path, agents=2, slots=1, work_s=0.8, failure_domains=DOMAINS
+        )
+        fleet.start()
+        flows = open_flows(fleet, count=5, interval_s=0.0)
+        fleet.simulation.run_for(0.1)
+        before = openings(fleet, "north")
+        assert before
+        fleet.platform.evacuate("north")
+        fleet.simulation.run_for(4.5)
+        assert openings(fleet, "north") == before
+        assert all(flow.answers or flow.was_reset for flow in flows)
+        assert fleet.lines(Event.FLOW_HANDED_OVER, "evacuated")
+
+
+class TestFailures:
+    def test_a_reader_that_is_cut_off(self, fleet):
+        # Guards against an evacuation that waits for the one reader whose platform is silent.
+        fleet.platform.unresponsive.add(fleet.balancers[0])
+        fleet.simulation.run_for(0.5)
+        fleet.platform.evacuate("north")
+        fleet.simulation.run_for(EVACUATE_S)
+        assert_nothing_opens(fleet, "north")
+
+    def test_a_balancer_with_an_outdated_view(self, fleet):
+        # Guards against openings in the domain while a balancer hasn't heard of the evacuation:
+        # the agent with the newer view hands them over.
+        freeze_evacuations(fleet, fleet.balancers[2])
+        fleet.rotation = [fleet.balancers[2]]
+        fleet.platform.evacuate("north")
+        fleet.simulation.run_for(1.0)
+        assert_nothing_opens(fleet, "north")
+        assert fleet.lines(Event.FLOW_HANDED_OVER, "evacuated")
+
+    def test_agents_whose_views_contradict_each_other(self, fleet):
+        # Guards against an opening packet that two agents pass to and fro without an end, each of
+        # them with another domain evacuated.
+        for address in fleet.agents:
+            freeze_evacuations(fleet, address, fleet.failure_domain(address))
+        sent = []
+        fleet.simulation.should_drop = lambda datagram, endpoint: (
+            sent.append(datagram) if endpoint[1] == PEER_PORT else None
+        )
+        flow = fleet.client.open_flow(SERVICE)
+        fleet.simulation.run_for(0.1)
+        assert flow.was_reset
+        assert len(sent) < 60
+
+    def test_all_balancers_restart(self, fleet):
+        # Guards against balancers that forward openings before they know of the evacuation.
+        fleet.platform.evacuate("north")
+        fleet.simulation.run_for(EVACUATE_S)
+        for balancer in fleet.balancers:
+            fleet.kill(balancer)
+            fleet.start_process(balancer)
+        assert_nothing_opens(fleet, "north")
+
+    def test_a_removal_that_the_history_lacks(self, fleet):
+        # Guards against a domain that stays evacuated for good, since its removal was compacted
+        # away while no reader reached the platform.
+        fleet.platform.evacuate("north")
+        fleet.simulation.run_for(1.0)
+        fleet.platform.is_unresponsive = True
+        fleet.simulation.run_for(2.5)
+        fleet.platform.evacuate("north", is_evacuated=False)
+        fleet.platform.forget_removed_evacuations()
+        fleet.platform.compact()
+        fleet.platform.is_unresponsive = False
+        fleet.simulation.run_for(5.0)
+        before = openings(fleet, "north")
+        open_flows(fleet)
+        assert openings(fleet, "north") > before
+
+    def test_an_evacuation_taken_back_within_a_second(self, fleet):
+        # Guards against processes that keep the earlier of two changes.
+        fleet.platform.evacuate("north")
+        fleet.simulation.run_for(0.4)
+        fleet.platform.evacuate("north", is_evacuated=False)
+        fleet.simulation.run_for(EVACUATE_S)
+        catalogs = [process.view.catalog for process in fleet.process_by_address.values()]
+        assert not any(catalog.evacuated_domains for catalog in catalogs)
+        before = openings(fleet, "north")
+        open_flows(fleet)
+        assert openings(fleet, "north") > before
+
+    def test_two_domains_with_nothing_left(self, fleet):
+        # Guards against clients that wait where no upstream is left, and against an upstream that
+        # is used because all are evacuated.
+        for domain in DOMAINS:
+            fleet.platform.evacuate(domain)
+        fleet.simulation.run_for(EVACUATE_S)
+        before = [openings(fleet, domain) for domain in DOMAINS]
+        flow = fleet.client.open_flow(SERVICE)
+        fleet.simulation.run_for(0.05)
+        assert flow.was_reset
+        assert fleet.lines(Event.FLOW_RESET, "evacuated")
+        assert [openings(fleet, domain) for domain in DOMAINS] == before
+
+    def test_a_restore_from_a_copy_without_the_item(self, fleet):
+        # Guards against openings in the domain until the operator has written the item again.
+        copy = fleet.platform.copy()
+        fleet.platform.evacuate("north")
+        fleet.simulation.run_for(EVACUATE_S)
+        fleet.platform.restore(copy)
+        assert_nothing_opens(fleet, "north", count=40)
+        fleet.platform.evacuate("north")
+        fleet.simulation.run_for(2.0)
+        assert_nothing_opens(fleet, "north")
--- a/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
@@ -67,6 +67,8 @@
     is_draining: bool = False,
     started_ms: int = 1,
     service: str = SERVICE_NAME,
+    failure_domain: str = "north",
+    warm_up_left_ms: int = 0,
 ) -> UpstreamEntry:
     """Return the entry of the upstream at ``address``."""
     return UpstreamEntry(
@@ -74,10 +76,10 @@
         service=service,
         address=address,
         port=UPSTREAM_PORT,
-        failure_domain="north",
+        failure_domain=failure_domain,
         slots=slots,
         is_draining=is_draining,
-        warm_up_left_ms=0,
+        warm_up_left_ms=warm_up_left_ms,
         started_ms=started_ms,
         revision=NO_REVISION,
     )
--- a/libs/standins/src/laburnumbridge/standins/flows/platform_stand_in.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/platform_stand_in.py
@@ -159,6 +159,14 @@
         self._evacuation_by_domain[domain] = (change, self.revision)
         self._answer_watches()
 
+    def forget_removed_evacuations(self) -> None:
+        """Drop the removals of evacuations from the history."""
+        self._evacuation_by_domain = {
+            domain: written
+            for domain, written in self._evacuation_by_domain.items()
+            if written[0].is_evacuated
+        }
+
     def compact(self) -> None:
         """Compact the history; watches from earlier revisions, also waiting ones, get 410."""
         self._oldest_revision = self.revision + 1
--- a/libs/standins/src/laburnumbridge/standins/flows/process_settings.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/process_settings.py
@@ -28,6 +28,7 @@
     seeds: list[str],
     is_agent: bool,
     service: str = SERVICE_NAME,
+    failure_domain: str = "north",
 ) -> dict[str, object]:
     """Return the settings of the process at ``address``; ports are the same on all VMs.
 
@@ -35,7 +36,7 @@
     """
     settings: dict[str, object] = {
         "process": f"vm-{address}",
-        "failure_domain": "north",
+        "failure_domain": failure_domain,
         "address": address,
         "packet_endpoint": f"{address}:{PACKET_PORT}",
         "peer_port": PEER_PORT,
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 from typing import TypedDict
 
@@ -38,6 +39,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from collections.abc import Sequence
     from pathlib import Path
 
     from laburnumbridge.catalog import UpstreamEntry
@@ -75,7 +77,9 @@
 
     The fabric selects the balancer of a flow by its hash modulo the length of ``rotation``, so a
     change of it moves nearly all flows to other balancers. ``second_service_agents`` are the agents
-    beside upstreams of the second service; the first configuration has no route to it.
+    beside upstreams of the second service; the first configuration has no route to it. Processes
+    and upstreams are spread over ``failure_domains`` in turn. ``extra_settings`` are added to the
+    settings of each process.
     """
 
     def __init__(
@@ -87,11 +91,15 @@
         second_service_agents: int = 0,
         slots: int = 4,
         work_s: float = 0.06,
+        failure_domains: Sequence[str] = ("north",),
+        extra_settings: Mapping[str, object] = MappingProxyType({}),
     ) -> None:
         self.simulation = Simulation()
         self._directory = directory
         self._slots = slots
         self._work_s = work_s
+        self._failure_domains = failure_domains
+        self._extra_settings = extra_settings
         self.platform = PlatformStandIn(
             **self._make_loop_and_network(PLATFORM[0]), endpoint=PLATFORM
         )
@@ -148,8 +156,14 @@
             slots=self._slots,
             is_draining=is_draining,
             service=self._service(address),
+            failure_domain=self.failure_domain(address),
         )
 
+    def failure_domain(self, address: str) -> str:
+        """Return the failure domain of the process and the upstream at ``address``."""
+        number = int(address.rpartition(".")[2]) - 1
+        return self._failure_domains[number % len(self._failure_domains)]
+
     def start_upstream(self, address: str) -> None:
         """Start the upstream at ``address`` and register it."""
         self._upstream_starts += 1
@@ -263,13 +277,15 @@
         return self.rotation[hash64(flow) % len(self.rotation)], PACKET_PORT
 
     def _settings(self, address: str, *, is_agent: bool) -> dict[str, object]:
-        return process_settings(
+        settings = process_settings(
             address,
             platform=PLATFORM,
             seeds=[f"{seed}:{CONTROL_PORT}" for seed in self.balancers[:3]],
             is_agent=is_agent,
             service=self._service(address),
+            failure_domain=self.failure_domain(address),
         )
+        return settings | dict(self._extra_settings)
 
     def _service(self, address: str) -> str:
         return SECOND_SERVICE_NAME if address in self.second_service_agents else SERVICE_NAME
