--- a/libs/catalog/src/laburnumbridge/catalog/records.py
+++ b/libs/catalog/src/laburnumbridge/catalog/records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from laburnumbridge.catalog.evacuations import Evacuations
 from laburnumbridge.catalog.revision import NO_REVISION
 from laburnumbridge.catalog.revision import Revision
 
@@ -105,7 +106,9 @@
     ``is_own_reading`` is set, which means that the receiver itself read the platform.
     ``configuration_version`` is the sender's version, or 0 without one. ``lacks_configuration``
     means that the sender can't apply a change and needs the whole configuration.
-    ``accepts_compressed`` means that the sender can decode compressed updates.
+    ``accepts_compressed`` means that the sender can decode compressed updates. ``evacuations`` is
+    the sender's register, also in a heartbeat, or None if it has none; ``has_evacuation_change``
+    means that the evacuated domains have changed at the sender.
     """
 
     revision: Revision
@@ -122,10 +125,16 @@
     configuration_version: int = 0
     lacks_configuration: bool = False
     accepts_compressed: bool = False
+    evacuations: Evacuations | None = None
+    has_evacuation_change: bool = False
 
     @property
     def has_changes(self) -> bool:
         """True unless the update is only a heartbeat."""
         return self.present is not None or bool(
-            self.entries or self.removals or self.configuration or self.configuration_change
+            self.entries
+            or self.removals
+            or self.configuration
+            or self.configuration_change
+            or self.has_evacuation_change
         )
