Plan the order of held openings behind a narrow queue interface

Cause: held openings are served newest first, whatever their route. A request that has waited 100 ms of its 250 ms is overtaken by each newer one, and priority doesn't count.

Change: OpeningOrder plans the starts of waiting openings by target latency, class and expected work (Moore and Hodgson's algorithm with classes), adds the late ones where they delay no other, and refuses what finds no place. A class that only higher ones have passed for a second gets the next start. OpeningQueue is now an abstract base class; NewestFirstQueue has the earlier order, and PlannedQueue takes openings from a plan that it makes again only after an arrival, a delay or 0.2 s. OpeningDeadline has target_by. AdmissionControl uses NewestFirstQueue, so that its behaviour is unchanged.

The tests of the queue address it by the new interface; their cases and bounds are the earlier ones.

--- a/libs/flows/src/laburnumbridge/flows/__init__.py
+++ b/libs/flows/src/laburnumbridge/flows/__init__.py
@@ -12,11 +12,16 @@
 from laburnumbridge.flows.flow_tracker import FlowState
 from laburnumbridge.flows.flow_tracker import FlowTracker
 from laburnumbridge.flows.flow_tracker import TrackedFlow
+from laburnumbridge.flows.newest_first_queue import NewestFirstQueue
 from laburnumbridge.flows.opening_deadline import OpeningDeadline
+from laburnumbridge.flows.opening_order import OpeningOrder
+from laburnumbridge.flows.opening_queue import DisplacedOpening
 from laburnumbridge.flows.opening_queue import OpeningQueue
+from laburnumbridge.flows.opening_queue import WaitingOpening
 from laburnumbridge.flows.outlier_detector import OutlierDetector
 from laburnumbridge.flows.packet_buffer import PacketBuffer
 from laburnumbridge.flows.packet_codec import PacketCodec
+from laburnumbridge.flows.planned_queue import PlannedQueue
 from laburnumbridge.flows.search_order import SearchOrder
 from laburnumbridge.flows.search_order import SearchStep
 from laburnumbridge.flows.upstream_selector import Candidate
@@ -25,6 +30,7 @@
 __all__ = [
     "AgentRanking",
     "Candidate",
+    "DisplacedOpening",
     "ExpiringMap",
     "FlowKey",
     "FlowLocations",
@@ -33,13 +39,17 @@
     "FlowTracker",
     "MalformedPacketError",
     "MalformedPeerDatagramError",
+    "NewestFirstQueue",
     "OpeningDeadline",
+    "OpeningOrder",
     "OpeningQueue",
     "OutlierDetector",
     "PacketBuffer",
     "PacketCodec",
+    "PlannedQueue",
     "SearchOrder",
     "SearchStep",
     "TrackedFlow",
     "UpstreamSelector",
+    "WaitingOpening",
 ]
--- a/libs/flows/src/laburnumbridge/flows/opening_queue.py
+++ b/libs/flows/src/laburnumbridge/flows/opening_queue.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from abc import ABC
+from abc import abstractmethod
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Generic
 from typing import TypeVar
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from laburnumbridge.flows.flow_packet import FlowKey
     from laburnumbridge.flows.opening_deadline import OpeningDeadline
 
@@ -16,25 +20,33 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WaitingOpening(Generic[T]):
-    """An opening packet in the queue; ``item`` is what the caller needs to forward it."""
+    """An opening packet in the queue; ``item`` is what the caller needs to forward it.
+
+    ``priority`` is that of its route, 0 the highest.
+    """
 
     flow: FlowKey
     item: T
     deadline: OpeningDeadline
+    priority: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DisplacedOpening(Generic[T]):
+    """An opening packet that left the queue because another one was added, and why."""
+
+    waiting: WaitingOpening[T]
+    reason: str
 
 
-class OpeningQueue(Generic[T]):
-    """Queues opening packets and returns the newest first.
+class OpeningQueue(ABC, Generic[T]):
+    """Queues the opening packets that wait at one agent; subclasses decide their order.
 
-    After an outage the requests of a second arrive at once and take several seconds to run. In
-    order of arrival every request would be late until the backlog is gone. With the newest first,
-    new requests are still on time, and the older ones, already late, run in between. Packets
-    whose turn can't come in time leave the queue at once, so that their clients needn't wait for
-    nothing. Beyond ``limit`` packets the oldest is dropped.
+    ``slots`` is the number of requests that the upstream runs at once, 0 while it takes no opening.
+    ``backlog_s`` is the time that it needs for the work before the first opening.
     """
 
-    def __init__(self, *, limit: int) -> None:
-        self._limit = limit
+    def __init__(self) -> None:
         self._by_flow: dict[FlowKey, WaitingOpening[T]] = {}
 
     def __len__(self) -> int:
@@ -43,31 +55,32 @@
     def __contains__(self, flow: FlowKey) -> bool:
         return flow in self._by_flow
 
-    def put(self, flow: FlowKey, item: T, deadline: OpeningDeadline) -> WaitingOpening[T] | None:
-        """Add a packet; return the one that was dropped because the queue was full, or None."""
-        self._by_flow[flow] = WaitingOpening(flow=flow, item=item, deadline=deadline)
-        if len(self._by_flow) <= self._limit:
-            return None
-        return self._by_flow.pop(next(iter(self._by_flow)))
-
-    def pop_newest(self) -> WaitingOpening[T] | None:
-        """Remove and return the packet added last, or None if the queue is empty."""
-        if not self._by_flow:
-            return None
-        return self._by_flow.popitem()[1]
-
-    def expire(self, now: float, *, start_interval_s: float = 0.0) -> list[WaitingOpening[T]]:
-        """Remove and return the packets that can't start in time, the newest first.
-
-        ``start_interval_s`` is the usual time between two starts. A packet starts after all that
-        are newer, so its turn comes that many intervals from now, or later.
-        """
-        late = []
-        starts_at = now
-        for waiting in reversed(list(self._by_flow.values())):
-            if starts_at > waiting.deadline.start_by:
-                late.append(waiting)
-                del self._by_flow[waiting.flow]
-            else:
-                starts_at += start_interval_s
-        return late
+    def __iter__(self) -> Iterator[WaitingOpening[T]]:
+        """Iterate over the packets in the order in which they were added."""
+        return iter(self._by_flow.values())
+
+    def drain(self) -> list[WaitingOpening[T]]:
+        """Remove and return all packets, the newest first."""
+        drained = list(reversed(self._by_flow.values()))
+        for waiting in drained:
+            self._remove(waiting)
+        return drained
+
+    @abstractmethod
+    def put(self, waiting: WaitingOpening[T]) -> DisplacedOpening[T] | None:
+        """Add a packet; return the one that had to leave the queue for it, or None."""
+
+    @abstractmethod
+    def pop_next(self, now: float, *, slots: int, backlog_s: float) -> WaitingOpening[T] | None:
+        """Remove and return the packet to serve next, or None if none can be served in time."""
+
+    @abstractmethod
+    def expire(self, now: float, *, slots: int, backlog_s: float) -> list[WaitingOpening[T]]:
+        """Remove and return the packets that can't start in time."""
+
+    @abstractmethod
+    def has_overdue(self, now: float) -> bool:
+        """Return whether a packet has waited longer than its route's target latency allows."""
+
+    def _remove(self, waiting: WaitingOpening[T]) -> None:
+        del self._by_flow[waiting.flow]
--- a/libs/flows/tests/test_opening_deadline.py
+++ b/libs/flows/tests/test_opening_deadline.py
@@ -24,3 +24,16 @@
         # Guards against openings that are held until their client has given up.
         deadline = OpeningDeadline.of_copy(0, 10.0, timeout_s=60.0, usual_answer_s=0.05)
         assert deadline.start_by == pytest.approx(10.0 + MAX_WAIT_S)
+
+    def test_the_target_of_the_route_counts_the_work(self):
+        # Guards against an order by a target that includes no time for the request itself.
+        deadline = OpeningDeadline.of_copy(
+            1, 10.0, timeout_s=0.6, usual_answer_s=0.05, target_s=0.25, expected_work_s=0.1
+        )
+        assert deadline.target_by == pytest.approx(9.95 - ANSWER_TRAVEL_S)
+        assert deadline.start_by == pytest.approx(10.35 - ANSWER_TRAVEL_S)
+
+    def test_without_a_target_an_answer_before_the_timeout_is_on_time(self):
+        # Guards against requests of routes without a target that count as late at once.
+        deadline = OpeningDeadline.of_copy(0, 10.0, timeout_s=0.4, usual_answer_s=0.05)
+        assert deadline.target_by == deadline.start_by
--- a/libs/flows/tests/test_opening_queue.py
+++ b/libs/flows/tests/test_opening_queue.py
@@ -3,64 +3,138 @@
 import pytest
 
 from laburnumbridge.flows import FlowKey
+from laburnumbridge.flows import NewestFirstQueue
 from laburnumbridge.flows import OpeningDeadline
-from laburnumbridge.flows import OpeningQueue
+from laburnumbridge.flows import PlannedQueue
+from laburnumbridge.flows import WaitingOpening
 
 
-def by(since: float, start_by: float) -> OpeningDeadline:
-    return OpeningDeadline(since=since, start_by=start_by)
+def opening(number, since, start_by, *, target_by=None, priority=0, client=0):
+    target_by = start_by if target_by is None else target_by
+    return WaitingOpening(
+        flow=FlowKey(client.to_bytes(4, "big") + number.to_bytes(8, "big")),
+        item=number,
+        deadline=OpeningDeadline(since=since, start_by=start_by, target_by=target_by),
+        priority=priority,
+    )
 
 
-def key(number: int) -> FlowKey:
-    return FlowKey(number.to_bytes(12, "big"))
+def newest_first(*, limit, work_s=0.0):
+    return NewestFirstQueue(limit=limit, usual_work_s=lambda: work_s)
 
 
-@pytest.fixture
-def queue() -> OpeningQueue[str]:
-    return OpeningQueue(limit=3)
+def planned(*, limit, work_s=0.0):
+    return PlannedQueue(limit=limit, expected_work_s=lambda _flow: work_s)
 
 
-class TestOrder:
-    def test_the_newest_is_returned_first(self, queue):
+def pop_all(queue):
+    popped = []
+    while (waiting := queue.pop_next(0.0, slots=1, backlog_s=0.0)) is not None:
+        popped.append(waiting.item)
+    return popped
+
+
+class TestNewestFirst:
+    def test_the_newest_is_returned_first(self):
         # Guards against a backlog that delays every later request.
+        queue = newest_first(limit=3)
         for number in range(3):
-            queue.put(key(number), str(number), by(number / 10, 1.2 + number / 10))
-        order = [queue.pop_newest().item for _ in range(3)]
-        assert order == ["2", "1", "0"]
-        assert queue.pop_newest() is None
+            queue.put(opening(number, number / 10, 1.2 + number / 10))
+        assert pop_all(queue) == [2, 1, 0]
 
-    def test_a_full_queue_drops_the_oldest(self, queue):
+    def test_a_full_queue_drops_the_oldest(self):
         # Guards against memory that grows with a flood of openings.
+        queue = newest_first(limit=3)
         for number in range(3):
-            assert queue.put(key(number), str(number), by(0.0, 1.2)) is None
-        displaced = queue.put(key(3), "3", by(0.0, 1.2))
+            assert queue.put(opening(number, 0.0, 1.2)) is None
+        displaced = queue.put(opening(3, 0.0, 1.2))
         assert displaced is not None
-        assert displaced.item == "0"
+        assert (displaced.waiting.item, displaced.reason) == (0, "queue_full")
         assert len(queue) == 3
 
 
+def expired(queue, now):
+    return [waiting.item for waiting in queue.expire(now, slots=1, backlog_s=0.0)]
+
+
 class TestExpiry:
-    def test_a_packet_expires_by_the_time_its_client_has_waited(self, queue):
+    @pytest.mark.parametrize("make_queue", [newest_first, planned])
+    def test_a_packet_expires_by_the_time_its_client_has_waited(self, make_queue):
         # Guards against requests for clients that have abandoned them.
-        queue.put(key(0), "first", by(0.0, 1.2))
-        queue.put(key(1), "second copy", by(-0.6, 0.6))
-        assert [waiting.item for waiting in queue.expire(0.7)] == ["second copy"]
-        assert key(0) in queue
-        assert [waiting.item for waiting in queue.expire(1.3)] == ["first"]
+        queue = make_queue(limit=8)
+        first, second_copy = opening(0, 0.0, 1.2), opening(1, -0.6, 0.6)
+        queue.put(first)
+        queue.put(second_copy)
+        assert expired(queue, 0.7) == [1]
+        assert first.flow in queue
+        assert expired(queue, 1.3) == [0]
         assert len(queue) == 0
 
     def test_a_packet_whose_turn_comes_too_late_is_returned_at_once(self):
         # Guards against clients that wait until their deadline behind a backlog of half a second.
-        queue = OpeningQueue[str](limit=50)
+        queue = newest_first(limit=50, work_s=0.02)
         for number in range(50):
-            queue.put(key(number), str(number), by(0.0, 0.41))
-        late = queue.expire(0.0, start_interval_s=0.02)
-        assert [waiting.item for waiting in late] == [str(number) for number in range(28, -1, -1)]
+            queue.put(opening(number, 0.0, 0.41))
+        assert expired(queue, 0.0) == list(range(28, -1, -1))
 
-    def test_a_late_packet_doesnt_delay_those_behind_it(self, queue):
+    @pytest.mark.parametrize("make_queue", [newest_first, planned])
+    def test_a_late_packet_doesnt_delay_those_behind_it(self, make_queue):
         # Guards against refusals of older packets with a longer deadline, which could run in time.
-        queue.put(key(0), "long", by(0.0, 0.5))
-        queue.put(key(1), "short", by(0.0, -0.1))
-        late = queue.expire(0.0, start_interval_s=0.6)
-        assert [waiting.item for waiting in late] == ["short"]
-        assert key(0) in queue
+        queue = make_queue(limit=8, work_s=0.6)
+        queue.put(opening(0, 0.0, 0.5))
+        queue.put(opening(1, 0.0, -0.1))
+        assert expired(queue, 0.0) == [1]
+        assert len(queue) == 1
+
+
+class TestPlanned:
+    def test_packets_are_taken_from_a_plan_until_the_upstream_is_late(self, monkeypatch):
+        # Guards against an order that takes the agent's time from its packets: it is planned once
+        # for many starts, and again when the plan has become wrong.
+        queue = planned(limit=256, work_s=0.05)
+        for number in range(10):
+            queue.put(opening(number, 0.0, 2.0, target_by=0.05 * number, client=number))
+        plans = []
+        plan = queue._order.plan
+        monkeypatch.setattr(queue._order, "plan", lambda *a, **k: plans.append(1) or plan(*a, **k))
+        for step in range(4):
+            assert queue.pop_next(step * 0.05, slots=1, backlog_s=0.0).item == step
+        assert len(plans) == 1
+        assert queue.pop_next(0.26, slots=1, backlog_s=0.0).item == 6
+        assert len(plans) == 2
+
+    def test_one_client_cant_fill_the_queue(self):
+        # Guards against one client whose flood of openings displaces those of all others.
+        queue = planned(limit=8)
+        queue.put(opening(0, 0.0, 1.2, client=1))
+        displaced = [queue.put(opening(number, number / 10, 1.2)) for number in range(1, 5)]
+        assert displaced[:2] == [None, None]
+        assert [(one.waiting.item, one.reason) for one in displaced[2:]] == [
+            (1, "client_share"),
+            (2, "client_share"),
+        ]
+        assert len(queue) == 3
+
+    def test_a_full_queue_drops_the_oldest_of_the_lowest_class(self):
+        # Guards against important requests that a flood of others displaces.
+        queue = planned(limit=8)
+        for number in range(8):
+            queue.put(opening(number, number / 10, 1.2, priority=number % 2, client=number))
+        displaced = queue.put(opening(8, 0.9, 1.2, client=8))
+        assert (displaced.waiting.item, displaced.reason) == (1, "queue_full")
+
+    def test_another_agent_gets_what_finds_no_place_here(self):
+        # Guards against a refusal by an agent with a long backlog while another one is idle.
+        queue = planned(limit=8)
+        queue.put(opening(0, 0.0, 0.5))
+        assert queue.pop_next(0.0, slots=1, backlog_s=1.0).item == 0
+        assert queue.pop_next(0.0, slots=1, backlog_s=1.0) is None
+
+    def test_only_waits_beyond_a_target_are_overdue(self):
+        # Guards against an overload that is reported for routes without a target latency.
+        queue = planned(limit=8)
+        queue.put(opening(0, 0.0, 0.5))
+        assert not queue.has_overdue(0.6)
+        queue.put(opening(1, 0.0, 0.5, target_by=0.2))
+        assert not queue.has_overdue(0.1)
+        assert queue.has_overdue(0.3)
--- a/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
@@ -7,8 +7,9 @@
 
 from laburnumbridge.core import Event
 from laburnumbridge.flows import ExpiringMap
+from laburnumbridge.flows import NewestFirstQueue
 from laburnumbridge.flows import OpeningDeadline
-from laburnumbridge.flows import OpeningQueue
+from laburnumbridge.flows import WaitingOpening
 from laburnumbridge.flows.peer_datagrams import MAX_TRIED
 from laburnumbridge.flows.peer_datagrams import SearchStage
 from laburnumbridge.forwarding.forwarding_process import flow_text
@@ -20,6 +21,7 @@
     from laburnumbridge.flows import FlowKey
     from laburnumbridge.flows import FlowPacket
     from laburnumbridge.flows import FlowTracker
+    from laburnumbridge.flows import OpeningQueue
     from laburnumbridge.flows import OutlierDetector
     from laburnumbridge.flows import UpstreamSelector
     from laburnumbridge.flows.peer_datagrams import Envelope
@@ -78,7 +80,9 @@
         self._admit = admit
         self._forward = forward
         self._reset = reset
-        self._held_openings: OpeningQueue[Envelope] = OpeningQueue(limit=HELD_OPENINGS_LIMIT)
+        self._held_openings: OpeningQueue[Envelope] = NewestFirstQueue(
+            limit=HELD_OPENINGS_LIMIT, usual_work_s=lambda: outlier_detector.baseline_s
+        )
         self._handover_agent_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
             ttl_s=HANDOVER_TTL_S, limit=HANDOVERS_LIMIT
         )
@@ -117,9 +121,9 @@
             self._refuse(packet, envelope, reason, now)
 
     def admit_held(self, now: float) -> None:
-        """Hand held packets to the upstream while it is below its limit, the newest first."""
+        """Hand held packets to the upstream while it is below its limit."""
         while self._held_openings and self._is_available() and self._has_room:
-            waiting = self._held_openings.pop_newest()
+            waiting = self._pop_next(now)
             if waiting is None:
                 return
             packet = self._process.packet_codec.decode_from_client(waiting.item.raw)
@@ -132,14 +136,13 @@
             return
         self.admit_held(now)
         self._hand_over_to_idle(now)
-        is_available = self._is_available()
-        interval_s = self._outlier_detector.baseline_s / self._slots() if is_available else 0.0
-        for waiting in self._held_openings.expire(now, start_interval_s=interval_s):
+        slots = self._slots() if self._is_available() else 0
+        for waiting in self._held_openings.expire(now, slots=slots, backlog_s=self._backlog_s):
             self._reset(waiting.flow, 0, "queue_timeout")
 
     def refuse_held(self) -> None:
         """Refuse the held packets that no other agent could take; nothing has run."""
-        while (waiting := self._held_openings.pop_newest()) is not None:
+        for waiting in self._held_openings.drain():
             self._reset(waiting.flow, 0, "stopping")
 
     def expire(self, now: float) -> None:
@@ -164,11 +167,26 @@
         return True
 
     @property
-    def _has_room(self) -> bool:
-        """True while the upstream gets openings: a few above its slots cover the handshakes."""
+    def _busy_limit(self) -> int:
+        """Requests that the upstream may have in progress: a few above its slots for handshakes."""
         slots = self._slots()
-        limit = slots + max(1, slots // SLOTS_PER_SPARE_REQUEST)
-        return self._flows.busy < limit and not self._has_full_arrivals
+        return slots + max(1, slots // SLOTS_PER_SPARE_REQUEST)
+
+    @property
+    def _has_room(self) -> bool:
+        """True while the upstream gets openings."""
+        return self._flows.busy < self._busy_limit and not self._has_full_arrivals
+
+    @property
+    def _backlog_s(self) -> float:
+        """Seconds that the upstream needs for requests above its limit, of open flows."""
+        above_limit = max(0, self._flows.busy - self._busy_limit)
+        return above_limit * self._outlier_detector.baseline_s / self._slots()
+
+    def _pop_next(self, now: float) -> WaitingOpening[Envelope] | None:
+        """Remove and return the held packet to serve next, or None if none can be in time."""
+        slots = self._slots() if self._is_available() else 0
+        return self._held_openings.pop_next(now, slots=slots, backlog_s=self._backlog_s)
 
     @property
     def _has_full_arrivals(self) -> bool:
@@ -200,9 +218,11 @@
             slots=self._slots(),
             wait_s=round(deadline.start_by - now, 3),
         )
-        displaced = self._held_openings.put(packet.flow, envelope, deadline)
+        displaced = self._held_openings.put(
+            WaitingOpening(flow=packet.flow, item=envelope, deadline=deadline)
+        )
         if displaced is not None:
-            self._reset(displaced.flow, 0, "queue_full")
+            self._reset(displaced.waiting.flow, 0, displaced.reason)
 
     def _hand_over_to_idle(self, now: float) -> None:
         own_address = self._process.settings.address
@@ -214,11 +234,11 @@
                 agent = self._selector.choose(
                     others, is_long=False, now=now, excluded=(own_address,)
                 )
-            waiting_newest = self._held_openings.pop_newest() if agent is not None else None
-            if agent is None or waiting_newest is None:
+            waiting = self._pop_next(now) if agent is not None else None
+            if agent is None or waiting is None:
                 return
-            envelope = replace(waiting_newest.item, tried=())
-            self._send_handover(waiting_newest.flow, envelope, agent, "waiting", now)
+            envelope = replace(waiting.item, tried=())
+            self._send_handover(waiting.flow, envelope, agent, "waiting", now)
 
     def _reason_to_hand_over(self, envelope: Envelope, now: float) -> str | None:
         if envelope.service_tag != self._service_tag:
