Serve held openings by target latency and class

Cause: agents held openings newest first, whatever the priority and the target latency of their routes, and metrics showed neither.

Change: AdmissionControl holds openings in the planned queue from the first one of a route with a target latency until none waits, and newest first otherwise. The same interface gives the one to admit or to hand over to an idle agent, and those to refuse. Event 414 overload_changed, and the label priority of opening_wait_seconds, openings_waiting and flow_resets_total.

--- a/libs/core/src/laburnumbridge/core/event.py
+++ b/libs/core/src/laburnumbridge/core/event.py
@@ -56,6 +56,7 @@
     FLOW_SEARCHED = (408, "info", "A packet of a flow without a record here was forwarded.")
     FLOW_LOCATED = (409, "info", "A flow was found at an agent.")
     FLOW_HELD = (411, "info", "A new flow waits for a free slot.")
+    OVERLOAD_CHANGED = (414, "info", "Openings wait longer than their target allows, or none does.")
     PACKET_DROPPED = (410, "warning", "A packet was dropped.")
     REQUEST_REFUSED = (501, "info", "A request was refused before it ran.")
     REQUEST_RETRIED = (502, "info", "A request is tried on another upstream.")
--- a/libs/flows/src/laburnumbridge/flows/opening_deadline.py
+++ b/libs/flows/src/laburnumbridge/flows/opening_deadline.py
@@ -36,13 +36,13 @@
         timeout_s: float,
         usual_answer_s: float,
         target_s: float = 0.0,
-        expected_work_s: float = 0.0,
+        expected_answer_s: float = 0.0,
     ) -> OpeningDeadline:
         """Return the times of a copy that arrives now.
 
         ``timeout_s`` is the route's time-out and ``target_s`` its target latency, 0 if it has none;
-        ``usual_answer_s`` is the time that the upstream usually takes, ``expected_work_s`` that for
-        this request.
+        ``usual_answer_s`` is the time that the upstream usually takes, ``expected_answer_s`` that
+        from handing this opening to it until its answer.
         """
         since = now - SENT_AFTER_S_BY_COPY[min(copy_number, len(SENT_AFTER_S_BY_COPY) - 1)]
         wait_s = MAX_WAIT_S
@@ -50,5 +50,5 @@
             wait_s = min(wait_s, timeout_s - usual_answer_s - ANSWER_TRAVEL_S)
         target_wait_s = wait_s
         if target_s:
-            target_wait_s = min(wait_s, target_s - expected_work_s - ANSWER_TRAVEL_S)
+            target_wait_s = min(wait_s, target_s - expected_answer_s - ANSWER_TRAVEL_S)
         return cls(since=since, start_by=since + wait_s, target_by=since + target_wait_s)
--- a/libs/flows/tests/test_opening_deadline.py
+++ b/libs/flows/tests/test_opening_deadline.py
@@ -28,7 +28,7 @@
     def test_the_target_of_the_route_counts_the_work(self):
         # Guards against an order by a target that includes no time for the request itself.
         deadline = OpeningDeadline.of_copy(
-            1, 10.0, timeout_s=0.6, usual_answer_s=0.05, target_s=0.25, expected_work_s=0.1
+            1, 10.0, timeout_s=0.6, usual_answer_s=0.05, target_s=0.25, expected_answer_s=0.1
         )
         assert deadline.target_by == pytest.approx(9.95 - ANSWER_TRAVEL_S)
         assert deadline.start_by == pytest.approx(10.35 - ANSWER_TRAVEL_S)
--- a/libs/flows/tests/test_opening_load.py
+++ b/libs/flows/tests/test_opening_load.py
@@ -92,7 +92,7 @@
                 timeout_s=TIMEOUT_S_BY_PRIORITY[priority],
                 usual_answer_s=WORK_S,
                 target_s=TARGET_S_BY_PRIORITY[priority],
-                expected_work_s=WORK_S,
+                expected_answer_s=WORK_S,
             )
             flow = FlowKey(number.to_bytes(12, "little"))
             waiting = WaitingOpening(flow=flow, item=None, deadline=deadline, priority=priority)
--- a/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,7 @@
 from laburnumbridge.flows import ExpiringMap
 from laburnumbridge.flows import NewestFirstQueue
 from laburnumbridge.flows import OpeningDeadline
+from laburnumbridge.flows import PlannedQueue
 from laburnumbridge.flows import WaitingOpening
 from laburnumbridge.flows.peer_datagrams import MAX_TRIED
 from laburnumbridge.flows.peer_datagrams import SearchStage
@@ -39,6 +41,8 @@
 free."""
 HELD_OPENINGS_LIMIT = 256
 """At 5 ms a request an upstream runs fewer openings than this within ``MAX_WAIT_S``."""
+OVERLOAD_END_S = 1.0
+"""An overload ends when no opening has waited for this long; bursts repeat sooner than that."""
 SLOTS_PER_SPARE_REQUEST = 4
 """An upstream gets one request above its slots for this many slots. A handshake takes about 5 ms, a
 tenth of a request, so a quarter more than the slots covers it."""
@@ -51,9 +55,14 @@
 class AdmissionControl:
     """Admits opening packets to an upstream, holds them, hands them over or refuses them.
 
+    Held openings are served newest first; from the first one of a route with a target latency until
+    none waits, they are served in the order of ``PlannedQueue``.
+
     ``slots`` returns the requests that the upstream runs at once, and ``is_available`` whether it
-    takes new flows. ``admit`` hands a packet to the upstream, ``forward`` sends it to another
-    agent, and ``reset`` resets a flow with an acknowledged sequence number and a reason.
+    takes new flows. ``expected_work_s`` returns the work of a flow's request in seconds, None if it
+    isn't known; the usual time of answers is used then. ``admit`` hands a packet to the
+    upstream, ``forward`` sends it to another agent, and ``reset`` resets a flow with an
+    acknowledged sequence number and a reason.
     """
 
     def __init__(
@@ -64,6 +73,7 @@
         flows: FlowTracker,
         selector: UpstreamSelector,
         outlier_detector: OutlierDetector,
+        expected_work_s: Callable[[FlowKey], float | None],
         slots: Callable[[], int],
         is_available: Callable[[], bool],
         admit: Callable[[FlowPacket, Envelope, float], None],
@@ -80,9 +90,17 @@
         self._admit = admit
         self._forward = forward
         self._reset = reset
-        self._held_openings: OpeningQueue[Envelope] = NewestFirstQueue(
+        self._expected_work_s = expected_work_s
+        self._newest_first: OpeningQueue[Envelope] = NewestFirstQueue(
             limit=HELD_OPENINGS_LIMIT, usual_work_s=lambda: outlier_detector.baseline_s
         )
+        self._planned: OpeningQueue[Envelope] = PlannedQueue(
+            limit=HELD_OPENINGS_LIMIT, expected_work_s=self._work_s
+        )
+        self._held_openings: OpeningQueue[Envelope] = self._newest_first
+        self._held_at = 0.0
+        self._is_overloaded = False
+        self._waiting_by_priority: Counter[int] = Counter()
         self._handover_agent_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
             ttl_s=HANDOVER_TTL_S, limit=HANDOVERS_LIMIT
         )
@@ -127,15 +145,21 @@
             if waiting is None:
                 return
             packet = self._process.packet_codec.decode_from_client(waiting.item.raw)
-            self._process.metrics.observe("opening_wait_seconds", now - waiting.deadline.since)
+            self._process.metrics.observe(
+                "opening_wait_seconds", now - waiting.deadline.since, priority=waiting.priority
+            )
             self._admit(packet, waiting.item, now)
 
     def upkeep(self, now: float) -> None:
         """Admit held packets, hand them over to idle agents, refuse those that would be late."""
         if not self._held_openings:
+            self._end_overload(now)
             return
+        self._held_at = now
         self.admit_held(now)
         self._hand_over_to_idle(now)
+        if not self._is_overloaded and self._held_openings.has_overdue(now):
+            self._report_overload("entered")
         slots = self._slots() if self._is_available() else 0
         for waiting in self._held_openings.expire(now, slots=slots, backlog_s=self._backlog_s):
             self._reset(waiting.flow, 0, "queue_timeout")
@@ -146,8 +170,12 @@
             self._reset(waiting.flow, 0, "stopping")
 
     def expire(self, now: float) -> None:
-        """Drop expired records of handovers."""
+        """Drop expired records of handovers, and set the gauges of held openings."""
         self._handover_agent_by_flow.expire(now)
+        waiting = Counter(opening.priority for opening in self._held_openings)
+        for priority in waiting.keys() | self._waiting_by_priority.keys():
+            self._process.metrics.gauge("openings_waiting", waiting[priority], priority=priority)
+        self._waiting_by_priority = waiting
 
     def hand_over(self, packet: FlowPacket, envelope: Envelope, reason: str, now: float) -> bool:
         """Send an opening packet to another agent; return False if there is none to send it to."""
@@ -183,6 +211,19 @@
         above_limit = max(0, self._flows.busy - self._busy_limit)
         return above_limit * self._outlier_detector.baseline_s / self._slots()
 
+    def _work_s(self, flow: FlowKey) -> float:
+        """Expected work of a flow's request, 0 before the first answer of the upstream."""
+        expected_s = self._expected_work_s(flow)
+        return self._outlier_detector.baseline_s if expected_s is None else expected_s
+
+    def _answer_s(self, flow: FlowKey) -> float:
+        """Expected seconds from handing an opening to the full upstream until its answer.
+
+        It then waits there for the requests above the slots.
+        """
+        slots = self._slots()
+        return self._work_s(flow) * self._busy_limit / slots
+
     def _pop_next(self, now: float) -> WaitingOpening[Envelope] | None:
         """Remove and return the held packet to serve next, or None if none can be in time."""
         slots = self._slots() if self._is_available() else 0
@@ -199,11 +240,14 @@
         It is refused at once if its answer would be too late even with a free slot.
         """
         route = self._process.directory.route(packet.flow)
+        target_s = 0.0 if route is None else route.target_latency_ms / 1000
         deadline = OpeningDeadline.of_copy(
             packet.copy_number,
             now,
             timeout_s=0.0 if route is None else route.timeout_ms / 1000,
             usual_answer_s=self._outlier_detector.baseline_s,
+            target_s=target_s,
+            expected_answer_s=self._answer_s(packet.flow) if target_s else 0.0,
         )
         if deadline.start_by < now:
             self._reset(packet.flow, packet.acknowledged, "too_late")
@@ -218,12 +262,44 @@
             slots=self._slots(),
             wait_s=round(deadline.start_by - now, 3),
         )
-        displaced = self._held_openings.put(
-            WaitingOpening(flow=packet.flow, item=envelope, deadline=deadline)
+        self._select_queue(has_target=target_s > 0)
+        priority = 0 if route is None else route.priority
+        self._put(
+            WaitingOpening(flow=packet.flow, item=envelope, deadline=deadline, priority=priority)
         )
+
+    def _select_queue(self, *, has_target: bool) -> None:
+        """Hold all openings in the queue that the next one's route asks for."""
+        if not has_target and self._held_openings:
+            return
+        queue = self._planned if has_target else self._newest_first
+        if queue is self._held_openings:
+            return
+        moved = self._held_openings.drain()
+        self._held_openings = queue
+        for waiting in reversed(moved):
+            self._put(waiting)
+
+    def _put(self, waiting: WaitingOpening[Envelope]) -> None:
+        displaced = self._held_openings.put(waiting)
         if displaced is not None:
             self._reset(displaced.waiting.flow, 0, displaced.reason)
 
+    def _end_overload(self, now: float) -> None:
+        if self._is_overloaded and now - self._held_at >= OVERLOAD_END_S:
+            self._report_overload("left")
+
+    def _report_overload(self, outcome: str) -> None:
+        self._is_overloaded = outcome == "entered"
+        self._process.log.write(
+            Event.OVERLOAD_CHANGED,
+            outcome=outcome,
+            waiting=len(self._held_openings),
+            busy=self._flows.busy,
+            slots=self._slots(),
+            usual_answer_s=round(self._outlier_detector.baseline_s, 4),
+        )
+
     def _hand_over_to_idle(self, now: float) -> None:
         own_address = self._process.settings.address
         others = self._process.directory.candidates(self._service_tag, now)
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -122,6 +122,7 @@
             flows=self._flows,
             selector=self._selector,
             outlier_detector=self._outlier_detector,
+            expected_work_s=lambda _flow: self._outlier_detector.baseline_s or None,
             slots=lambda: self._slots,
             is_available=lambda: self._is_available,
             admit=self._admit,
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -160,7 +160,9 @@
 
     def reset_flow(self, flow: FlowKey, *, acknowledged: int, reason: str) -> bytes:
         """Count and log a reset of a flow, and return the packet that resets it."""
-        self.metrics.count("flow_resets_total", reason)
+        route = self.directory.route(flow)
+        priority = None if route is None else route.priority
+        self.metrics.count("flow_resets_total", reason, priority=priority)
         self.log.write(
             Event.FLOW_RESET,
             outcome=reason,
--- a/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
@@ -22,6 +22,7 @@
 IDLE_TIMEOUT_MS = 15_000
 SERVICES = (SERVICE_NAME, SECOND_SERVICE_NAME)
 ONE_SERVICE = MappingProxyType({SERVICE_NAME: 1})
+NO_PRIORITIES: Mapping[Endpoint, int] = MappingProxyType({})
 
 
 def make_configuration(
@@ -31,6 +32,8 @@
     timeout_ms: int = 0,
     weight_by_service: Mapping[str, int] = ONE_SERVICE,
     services: tuple[str, ...] = SERVICES,
+    target_latency_ms: int = 0,
+    priority_by_endpoint: Mapping[Endpoint, int] = NO_PRIORITIES,
 ) -> RoutingConfiguration:
     """Return routes from ``endpoints``; ``timeout_ms`` 0 is no time-out."""
     return RoutingConfiguration(
@@ -47,6 +50,8 @@
                 is_retryable=False,
                 is_transfer=False,
                 timeout_ms=timeout_ms,
+                target_latency_ms=target_latency_ms,
+                priority=priority_by_endpoint.get((address, port), 0),
             )
             for address, port in endpoints
         ),
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -15,6 +15,7 @@
 from laburnumbridge.forwarding.flow_balancer import FlowBalancer
 from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
 from laburnumbridge.standins.flows.client_stand_in import ClientStandIn
+from laburnumbridge.standins.flows.platform_data import NO_PRIORITIES
 from laburnumbridge.standins.flows.platform_data import ONE_SERVICE
 from laburnumbridge.standins.flows.platform_data import SERVICES
 from laburnumbridge.standins.flows.platform_data import entry_name
@@ -129,6 +130,8 @@
         timeout_ms: int = 0,
         weight_by_service: Mapping[str, int] = ONE_SERVICE,
         services: tuple[str, ...] = SERVICES,
+        target_latency_ms: int = 0,
+        priority_by_endpoint: Mapping[Endpoint, int] = NO_PRIORITIES,
     ) -> None:
         """Publish a configuration with routes from ``endpoints``."""
         self.platform.configure(
@@ -138,6 +141,8 @@
                 timeout_ms=timeout_ms,
                 weight_by_service=weight_by_service,
                 services=services,
+                target_latency_ms=target_latency_ms,
+                priority_by_endpoint=priority_by_endpoint,
             )
         )
 
