Refuse held openings by a new plan only

Cause: an upkeep hands held openings over to idle agents and then refused those without a place in the plan from before, although the others had left their places. An overload was reported as left only when no opening had waited at all for a second.

Change: expire plans again if openings were taken since the plan, or if it isn't of this moment. Overload ends when none has waited beyond its target for a second.

Result: the new test fails without the change.

--- a/libs/flows/src/laburnumbridge/flows/planned_queue.py
+++ b/libs/flows/src/laburnumbridge/flows/planned_queue.py
@@ -48,6 +48,7 @@
         self._order: OpeningOrder[T] = OpeningOrder(work_s=self._work_s)
         self._plan: OpeningPlan[T] | None = None
         self._plan_slots = 0
+        self._planned_at = 0.0
         self._plan_until = 0.0
         self._next_index = 0
         self._started_s = 0.0
@@ -97,8 +98,14 @@
         return waiting
 
     def expire(self, now: float, *, slots: int, backlog_s: float) -> list[WaitingOpening[T]]:
-        """Remove and return the packets that have no place in the plan."""
+        """Remove and return the packets that have no place in the plan.
+
+        They are refused by a new plan only, since some of the others may have been handed over.
+        """
         plan = self._current_plan(now, slots, backlog_s)
+        if plan.refused and (self._next_index or now > self._planned_at):
+            self._plan = None
+            plan = self._current_plan(now, slots, backlog_s)
         late = [refused for refused in plan.refused if refused.flow in self._by_flow]
         plan.refused.clear()
         for waiting in late:
@@ -146,6 +153,7 @@
         plan = self._order.plan(self, now, slots=slots, backlog_s=backlog_s)
         self._plan = plan
         self._plan_slots = slots
+        self._planned_at = now
         self._plan_until = min(now + MAX_PLAN_AGE_S, self._order.next_promotion())
         if self._plan_until <= now:  # the promoted class comes next; then the others as planned
             self._plan_until = now + MAX_PLAN_AGE_S
--- a/libs/flows/tests/test_opening_queue.py
+++ b/libs/flows/tests/test_opening_queue.py
@@ -130,6 +130,15 @@
         assert queue.pop_next(0.0, slots=1, backlog_s=1.0).item == 0
         assert queue.pop_next(0.0, slots=1, backlog_s=1.0) is None
 
+    def test_a_hand_over_leaves_its_place_to_another(self):
+        # Guards against a refusal by a plan from before others were handed over to idle agents.
+        queue = planned(limit=8, work_s=0.3)
+        for number in range(2):
+            queue.put(opening(number, number / 10, 0.2, client=number))
+        assert queue.pop_next(0.0, slots=1, backlog_s=0.0).item == 1
+        assert expired(queue, 0.0) == []
+        assert queue.pop_next(0.0, slots=1, backlog_s=0.0).item == 0
+
     def test_only_waits_beyond_a_target_are_overdue(self):
         # Guards against an overload that is reported for routes without a target latency.
         queue = planned(limit=8)
--- a/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
@@ -42,7 +42,8 @@
 HELD_OPENINGS_LIMIT = 256
 """At 5 ms a request an upstream runs fewer openings than this within ``MAX_WAIT_S``."""
 OVERLOAD_END_S = 1.0
-"""An overload ends when no opening has waited for this long; bursts repeat sooner than that."""
+"""An overload ends when no opening has waited beyond its target for this long; in a burst late
+ones follow each other sooner than that."""
 SLOTS_PER_SPARE_REQUEST = 4
 """An upstream gets one request above its slots for this many slots. A handshake takes about 5 ms, a
 tenth of a request, so a quarter more than the slots covers it."""
@@ -98,7 +99,7 @@
             limit=HELD_OPENINGS_LIMIT, expected_work_s=self._work_s
         )
         self._held_openings: OpeningQueue[Envelope] = self._newest_first
-        self._held_at = 0.0
+        self._overdue_at = 0.0
         self._is_overloaded = False
         self._waiting_by_priority: Counter[int] = Counter()
         self._handover_agent_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
@@ -152,14 +153,11 @@
 
     def upkeep(self, now: float) -> None:
         """Admit held packets, hand them over to idle agents, refuse those that would be late."""
+        self._update_overload(now)
         if not self._held_openings:
-            self._end_overload(now)
             return
-        self._held_at = now
         self.admit_held(now)
         self._hand_over_to_idle(now)
-        if not self._is_overloaded and self._held_openings.has_overdue(now):
-            self._report_overload("entered")
         slots = self._slots() if self._is_available() else 0
         for waiting in self._held_openings.expire(now, slots=slots, backlog_s=self._backlog_s):
             self._reset(waiting.flow, 0, "queue_timeout")
@@ -285,8 +283,13 @@
         if displaced is not None:
             self._reset(displaced.waiting.flow, 0, displaced.reason)
 
-    def _end_overload(self, now: float) -> None:
-        if self._is_overloaded and now - self._held_at >= OVERLOAD_END_S:
+    def _update_overload(self, now: float) -> None:
+        """Report when openings begin to wait beyond their target, and when none does any more."""
+        if self._held_openings.has_overdue(now):
+            self._overdue_at = now
+            if not self._is_overloaded:
+                self._report_overload("entered")
+        elif self._is_overloaded and now - self._overdue_at >= OVERLOAD_END_S:
             self._report_overload("left")
 
     def _report_overload(self, outcome: str) -> None:
