--- a/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from msgspec.structs import replace
 
 from laburnumbridge.core import Event
 from laburnumbridge.flows import ExpiringMap
+from laburnumbridge.flows import NewestFirstQueue
 from laburnumbridge.flows import OpeningDeadline
-from laburnumbridge.flows import OpeningQueue
+from laburnumbridge.flows import PlannedQueue
+from laburnumbridge.flows import WaitingOpening
 from laburnumbridge.flows.peer_datagrams import MAX_TRIED
 from laburnumbridge.flows.peer_datagrams import SearchStage
 from laburnumbridge.forwarding.forwarding_process import flow_text
@@ -21,6 +24,7 @@
     from laburnumbridge.flows import FlowKey
     from laburnumbridge.flows import FlowPacket
     from laburnumbridge.flows import FlowTracker
+    from laburnumbridge.flows import OpeningQueue
     from laburnumbridge.flows import OutlierDetector
     from laburnumbridge.flows import UpstreamSelector
     from laburnumbridge.flows.peer_datagrams import Envelope
@@ -38,6 +42,9 @@
 free."""
 HELD_OPENINGS_LIMIT = 256
 """At 5 ms a request an upstream runs fewer openings than this within ``MAX_WAIT_S``."""
+OVERLOAD_END_S = 1.0
+"""An overload ends when no opening has waited beyond its target for this long; in a burst late
+ones follow each other sooner than that."""
 SLOTS_PER_SPARE_REQUEST = 4
 """An upstream gets one request above its slots for this many slots. A handshake takes about 5 ms, a
 tenth of a request, so a quarter more than the slots covers it."""
@@ -54,10 +61,14 @@
 class AdmissionControl:
     """Admits opening packets to an upstream, holds them, hands them over or refuses them.
 
+    Held openings are served newest first; from the first one of a route with a target latency until
+    none waits, they are served in the order of ``PlannedQueue``.
+
     ``slots`` returns the requests that the upstream runs at once, ``is_available`` whether it takes
-    new flows, and ``is_evacuated`` whether its failure domain is evacuated. ``admit`` hands a
-    packet to the upstream, ``forward`` sends it to another agent, and ``reset`` resets a flow with
-    an acknowledged sequence number and a reason.
+    new flows, and ``is_evacuated`` whether its failure domain is evacuated. ``expected_work_s``
+    returns the work of a flow's request in seconds, None if it isn't known; the usual time of
+    answers is used then. ``admit`` hands a packet to the upstream, ``forward`` sends it to another
+    agent, and ``reset`` resets a flow with an acknowledged sequence number and a reason.
     """
 
     def __init__(
@@ -68,6 +79,7 @@
         flows: FlowTracker,
         selector: UpstreamSelector,
         outlier_detector: OutlierDetector,
+        expected_work_s: Callable[[FlowKey], float | None],
         slots: Callable[[], int],
         is_available: Callable[[], bool],
         is_evacuated: Callable[[], bool],
@@ -86,7 +98,17 @@
         self._admit = admit
         self._forward = forward
         self._reset = reset
-        self._held_openings: OpeningQueue[Envelope] = OpeningQueue(limit=HELD_OPENINGS_LIMIT)
+        self._expected_work_s = expected_work_s
+        self._newest_first: OpeningQueue[Envelope] = NewestFirstQueue(
+            limit=HELD_OPENINGS_LIMIT, usual_work_s=lambda: outlier_detector.baseline_s
+        )
+        self._planned: OpeningQueue[Envelope] = PlannedQueue(
+            limit=HELD_OPENINGS_LIMIT, expected_work_s=self._work_s
+        )
+        self._held_openings: OpeningQueue[Envelope] = self._newest_first
+        self._overdue_at = 0.0
+        self._is_overloaded = False
+        self._waiting_by_priority: Counter[int] = Counter()
         self._handover_agent_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
             ttl_s=HANDOVER_TTL_S, limit=HANDOVERS_LIMIT
         )
@@ -125,17 +147,20 @@
             self._refuse(packet, envelope, reason, now)
 
     def admit_held(self, now: float) -> None:
-        """Hand held packets to the upstream while it is below its limit, the newest first."""
+        """Hand held packets to the upstream while it is below its limit."""
         while self._held_openings and self._is_available() and self._has_room:
-            waiting = self._held_openings.pop_newest()
+            waiting = self._pop_next(now)
             if waiting is None:
                 return
             packet = self._process.packet_codec.decode_from_client(waiting.item.raw)
-            self._process.metrics.observe("opening_wait_seconds", now - waiting.deadline.since)
+            self._process.metrics.observe(
+                "opening_wait_seconds", now - waiting.deadline.since, priority=waiting.priority
+            )
             self._admit(packet, waiting.item, now)
 
     def upkeep(self, now: float) -> None:
         """Admit held packets, hand them over to idle agents, refuse those that would be late."""
+        self._update_overload(now)
         if not self._held_openings:
             return
         self.admit_held(now)
@@ -143,9 +168,8 @@
         if self._is_evacuated() and self._process.view.catalog.is_ready:
             self._refuse_all_held("evacuated")
             return
-        is_available = self._is_available()
-        interval_s = self._outlier_detector.baseline_s / self._slots() if is_available else 0.0
-        for waiting in self._held_openings.expire(now, start_interval_s=interval_s):
+        slots = self._slots() if self._is_available() else 0
+        for waiting in self._held_openings.expire(now, slots=slots, backlog_s=self._backlog_s):
             self._reset(waiting.flow, 0, "queue_timeout")
 
     def refuse_held(self) -> None:
@@ -153,12 +177,16 @@
         self._refuse_all_held("stopping")
 
     def _refuse_all_held(self, reason: str) -> None:
-        while (waiting := self._held_openings.pop_newest()) is not None:
+        for waiting in self._held_openings.drain():
             self._reset(waiting.flow, 0, reason)
 
     def expire(self, now: float) -> None:
-        """Drop expired records of handovers."""
+        """Drop expired records of handovers, and set the gauges of held openings."""
         self._handover_agent_by_flow.expire(now)
+        waiting = Counter(opening.priority for opening in self._held_openings)
+        for priority in waiting.keys() | self._waiting_by_priority.keys():
+            self._process.metrics.gauge("openings_waiting", waiting[priority], priority=priority)
+        self._waiting_by_priority = waiting
 
     def hand_over(self, packet: FlowPacket, envelope: Envelope, reason: str, now: float) -> bool:
         """Send an opening packet to another agent; return False if there is none to send it to."""
@@ -182,12 +210,40 @@
         self._send_handover(packet.flow, envelope, agent, reason, now)
         return True
 
+    @property
+    def _busy_limit(self) -> int:
+        """Requests that the upstream may have in progress: a few above its slots for handshakes."""
+        slots = self._slots()
+        return slots + max(1, slots // SLOTS_PER_SPARE_REQUEST)
+
     @property
     def _has_room(self) -> bool:
-        """True while the upstream gets openings: a few above its slots cover the handshakes."""
+        """True while the upstream gets openings."""
+        return self._flows.busy < self._busy_limit and not self._has_full_arrivals
+
+    @property
+    def _backlog_s(self) -> float:
+        """Seconds that the upstream needs for requests above its limit, of open flows."""
+        above_limit = max(0, self._flows.busy - self._busy_limit)
+        return above_limit * self._outlier_detector.baseline_s / self._slots()
+
+    def _work_s(self, flow: FlowKey) -> float:
+        """Expected work of a flow's request, 0 before the first answer of the upstream."""
+        expected_s = self._expected_work_s(flow)
+        return self._outlier_detector.baseline_s if expected_s is None else expected_s
+
+    def _answer_s(self, flow: FlowKey) -> float:
+        """Expected seconds from handing an opening to the full upstream until its answer.
+
+        It then waits there for the requests above the slots.
+        """
         slots = self._slots()
-        limit = slots + max(1, slots // SLOTS_PER_SPARE_REQUEST)
-        return self._flows.busy < limit and not self._has_full_arrivals
+        return self._work_s(flow) * self._busy_limit / slots
+
+    def _pop_next(self, now: float) -> WaitingOpening[Envelope] | None:
+        """Remove and return the held packet to serve next, or None if none can be in time."""
+        slots = self._slots() if self._is_available() else 0
+        return self._held_openings.pop_next(now, slots=slots, backlog_s=self._backlog_s)
 
     @property
     def _has_full_arrivals(self) -> bool:
@@ -200,11 +256,14 @@
         It is refused at once if its answer would be too late even with a free slot.
         """
         route = self._process.directory.route(packet.flow)
+        target_s = 0.0 if route is None else route.target_latency_ms / 1000
         deadline = OpeningDeadline.of_copy(
             packet.copy_number,
             now,
             timeout_s=0.0 if route is None else route.timeout_ms / 1000,
             usual_answer_s=self._outlier_detector.baseline_s,
+            target_s=target_s,
+            expected_answer_s=self._answer_s(packet.flow) if target_s else 0.0,
         )
         if deadline.start_by < now:
             self._reset(packet.flow, packet.acknowledged, "too_late")
@@ -219,9 +278,48 @@
             slots=self._slots(),
             wait_s=round(deadline.start_by - now, 3),
         )
-        displaced = self._held_openings.put(packet.flow, envelope, deadline)
+        self._select_queue(has_target=target_s > 0)
+        priority = 0 if route is None else route.priority
+        self._put(
+            WaitingOpening(flow=packet.flow, item=envelope, deadline=deadline, priority=priority)
+        )
+
+    def _select_queue(self, *, has_target: bool) -> None:
+        """Hold all openings in the queue that the next one's route asks for."""
+        if not has_target and self._held_openings:
+            return
+        queue = self._planned if has_target else self._newest_first
+        if queue is self._held_openings:
+            return
+        moved = self._held_openings.drain()
+        self._held_openings = queue
+        for waiting in reversed(moved):
+            self._put(waiting)
+
+    def _put(self, waiting: WaitingOpening[Envelope]) -> None:
+        displaced = self._held_openings.put(waiting)
         if displaced is not None:
-            self._reset(displaced.flow, 0, "queue_full")
+            self._reset(displaced.waiting.flow, 0, displaced.reason)
+
+    def _update_overload(self, now: float) -> None:
+        """Report when openings begin to wait beyond their target, and when none does any more."""
+        if self._held_openings.has_overdue(now):
+            self._overdue_at = now
+            if not self._is_overloaded:
+                self._report_overload("entered")
+        elif self._is_overloaded and now - self._overdue_at >= OVERLOAD_END_S:
+            self._report_overload("left")
+
+    def _report_overload(self, outcome: str) -> None:
+        self._is_overloaded = outcome == "entered"
+        self._process.log.write(
+            Event.OVERLOAD_CHANGED,
+            outcome=outcome,
+            waiting=len(self._held_openings),
+            busy=self._flows.busy,
+            slots=self._slots(),
+            usual_answer_s=round(self._outlier_detector.baseline_s, 4),
+        )
 
     def _hand_over_to_idle(self, now: float) -> None:
         own_address = self._process.settings.address
@@ -233,12 +331,12 @@
                 agent = self._selector.choose(
                     others, is_long=False, now=now, excluded=(own_address,)
                 )
-            waiting_newest = self._held_openings.pop_newest() if agent is not None else None
-            if agent is None or waiting_newest is None:
+            waiting = self._pop_next(now) if agent is not None else None
+            if agent is None or waiting is None:
                 return
-            envelope = replace(waiting_newest.item, tried=())
+            envelope = replace(waiting.item, tried=())
             reason = "evacuated" if self._is_evacuated() else "waiting"
-            self._send_handover(waiting_newest.flow, envelope, agent, reason, now)
+            self._send_handover(waiting.flow, envelope, agent, reason, now)
 
     def _reason_to_hand_over(self, envelope: Envelope, now: float) -> str | None:
         if envelope.service_tag != self._service_tag:
