Limit the openings that cold upstreams get

Cause: an upstream that has just started, or whose failure domain was evacuated until now, got as many openings as the others. Only the sum over all senders matters, and no sender knows it.

Change: the configuration carries the warm-up of each service, and the settings the bounds `warm_up_overage` and `warm_up_slack` and the names of the failure domains, from the platform's fields. Openings above the limit go to an upstream that reports room, or are held. A copy of an opening that was delivered here is dropped, since it can't open the flow elsewhere. Load reports say that the agent isn't available while the limit is used up. A lost flow counts as a restart of the upstream.

Without the settings an upstream gets more, as before.

--- a/libs/catalog/src/laburnumbridge/catalog/__init__.py
+++ b/libs/catalog/src/laburnumbridge/catalog/__init__.py
@@ -20,6 +20,7 @@
 from laburnumbridge.catalog.records import Route
 from laburnumbridge.catalog.records import RoutingConfiguration
 from laburnumbridge.catalog.records import ServiceShare
+from laburnumbridge.catalog.records import ServiceWarmUp
 from laburnumbridge.catalog.records import UpstreamEntry
 from laburnumbridge.catalog.records import UpstreamRemoval
 from laburnumbridge.catalog.revision import NO_REVISION
@@ -50,6 +51,7 @@
     "RouteIndex",
     "RoutingConfiguration",
     "ServiceShare",
+    "ServiceWarmUp",
     "UpdateDecoder",
     "UpstreamEntry",
     "UpstreamRemoval",
--- a/libs/catalog/src/laburnumbridge/catalog/configuration_changes.py
+++ b/libs/catalog/src/laburnumbridge/catalog/configuration_changes.py
@@ -22,6 +22,7 @@
         removed=tuple(name for name in base_by_name if name not in newer_names),
         idle_timeout_ms=newer.idle_timeout_ms,
         services=None if newer.services == base.services else newer.services,
+        warm_ups=None if newer.warm_ups == base.warm_ups else newer.warm_ups,
     )
 
 
@@ -36,4 +37,5 @@
         routes=tuple(route_by_name.values()),
         idle_timeout_ms=change.idle_timeout_ms,
         services=base.services if change.services is None else change.services,
+        warm_ups=base.warm_ups if change.warm_ups is None else change.warm_ups,
     )
--- a/libs/catalog/src/laburnumbridge/catalog/records.py
+++ b/libs/catalog/src/laburnumbridge/catalog/records.py
@@ -72,24 +72,38 @@
     priority: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceWarmUp:
+    """Upstreams of ``service`` are cold for ``warm_up_s`` after their start.
+
+    A cold one accepts ``openings_per_s`` openings each second.
+    """
+
+    service: str
+    warm_up_s: float
+    openings_per_s: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoutingConfiguration:
     """All routes at one version; a flow may be idle for ``idle_timeout_ms``.
 
-    ``services`` are those that the operator has configured, also without a route.
+    ``services`` are those that the operator has configured, also without a route. ``warm_ups`` are
+    of the services whose upstreams are cold after their start.
     """
 
     version: int
     routes: tuple[Route, ...]
     idle_timeout_ms: int
     services: tuple[str, ...] = ()
+    warm_ups: tuple[ServiceWarmUp, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigurationChange:
     """The change from the configuration of ``base_version`` to that of ``version``.
 
-    ``services`` is None if they are the same.
+    ``services`` and ``warm_ups`` are None if they are the same.
     """
 
     base_version: int
@@ -98,6 +112,7 @@
     removed: tuple[str, ...]
     idle_timeout_ms: int
     services: tuple[str, ...] | None = None
+    warm_ups: tuple[ServiceWarmUp, ...] | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/libs/catalog/tests/test_update_codec.py
+++ b/libs/catalog/tests/test_update_codec.py
@@ -13,6 +13,7 @@
 from laburnumbridge.catalog import Route
 from laburnumbridge.catalog import RoutingConfiguration
 from laburnumbridge.catalog import ServiceShare
+from laburnumbridge.catalog import ServiceWarmUp
 from laburnumbridge.catalog import UpdateDecoder
 from laburnumbridge.catalog import UpstreamRemoval
 from laburnumbridge.catalog import encode_update
@@ -85,3 +86,12 @@
         )
         newer = replace(base, version=2, services=services)
         assert apply_change(base, diff_configurations(base, newer)) == newer
+
+    def test_a_change_carries_the_warm_ups(self):
+        # Guards against an agent that keeps the limit of an earlier configuration.
+        base = RoutingConfiguration(version=1, routes=(), idle_timeout_ms=1)
+        warm_up = ServiceWarmUp(service="desk", warm_up_s=2.0, openings_per_s=0.0)
+        for warm_ups in ((warm_up,), ()):
+            newer = replace(base, version=base.version + 1, warm_ups=warm_ups)
+            assert apply_change(base, diff_configurations(base, newer)) == newer
+            base = newer
--- a/libs/flows/src/laburnumbridge/flows/__init__.py
+++ b/libs/flows/src/laburnumbridge/flows/__init__.py
@@ -21,6 +21,7 @@
 from laburnumbridge.flows.search_order import SearchStep
 from laburnumbridge.flows.upstream_selector import Candidate
 from laburnumbridge.flows.upstream_selector import UpstreamSelector
+from laburnumbridge.flows.warm_up_limiter import WarmUpLimiter
 
 __all__ = [
     "AgentRanking",
@@ -42,4 +43,5 @@
     "SearchStep",
     "TrackedFlow",
     "UpstreamSelector",
+    "WarmUpLimiter",
 ]
--- a/libs/flows/src/laburnumbridge/flows/upstream_selector.py
+++ b/libs/flows/src/laburnumbridge/flows/upstream_selector.py
@@ -170,6 +170,18 @@
         ]
         return self.choose(idle, is_long=False, now=now, excluded=excluded)
 
+    def is_available(self, agent: str, now: float) -> bool:
+        """Return whether ``agent`` is expected to take a new flow; True if it hasn't reported."""
+        last = self._report_by_agent.get(agent)
+        is_unavailable = (
+            last is not None
+            and not last.report.is_available
+            and now - last.reported_at <= UNAVAILABLE_REPORT_TTL_S
+        )
+        is_avoided = self._avoid_until_by_agent.get(agent, 0.0) > now
+        is_silent = self.unanswered_s(agent, now) > UNRESPONSIVE_S
+        return not (is_unavailable or is_avoided or is_silent)
+
     def _failing(self, candidates: Collection[Candidate], now: float) -> set[str]:
         """Return the agents that report failures; none if they exceed ``FAILING_SHARE_LIMIT``."""
         failing = {
@@ -213,15 +225,7 @@
         last = self._report_by_agent.get(agent)
         open_flows = 0 if last is None else last.report.open_flows
         arriving = 0 if fresh is None else fresh.report.arriving
-        available = (
-            last is None
-            or last.report.is_available
-            or now - last.reported_at > UNAVAILABLE_REPORT_TTL_S
-        )
-        if self._avoid_until_by_agent.get(agent, 0.0) > now:
-            available = False
-        if self.unanswered_s(agent, now) > UNRESPONSIVE_S:
-            available = False
+        available = self.is_available(agent, now)
         busy_share = (busy + pending) / capacity
         flow_share = (open_flows + pending) / capacity
         arriving_share = arriving / capacity
--- a/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
@@ -24,9 +24,12 @@
     from laburnumbridge.flows import UpstreamSelector
     from laburnumbridge.flows.peer_datagrams import Envelope
     from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
+    from laburnumbridge.forwarding.warm_up_control import WarmUpControl
 
 OVERRIDABLE_REASONS = ("busy", "failing")
 """If no other agent is left, this agent takes an opening packet despite these reasons."""
+WARMING_UP = "warming_up"
+"""If no other agent is left, this agent holds an opening packet for this reason."""
 HANDOVER_TTL_S = 3.0
 """Longer than the time in which an opening packet's copies arrive and the first agent forwards the
 answer."""
@@ -70,6 +73,7 @@
         slots: Callable[[], int],
         is_available: Callable[[], bool],
         is_evacuated: Callable[[], bool],
+        warm_up: WarmUpControl,
         admit: Callable[[FlowPacket, Envelope, float], None],
         forward: Callable[[Envelope, str, SearchStage], None],
         reset: Callable[[FlowKey, int, str], None],
@@ -82,6 +86,7 @@
         self._slots = slots
         self._is_available = is_available
         self._is_evacuated = is_evacuated
+        self._warm_up = warm_up
         self._admit = admit
         self._forward = forward
         self._reset = reset
@@ -109,12 +114,16 @@
             reason = self._reason_to_hand_over(envelope, now)
             if reason is not None and self.hand_over(packet, envelope, reason, now):
                 return
-            if reason not in (None, *OVERRIDABLE_REASONS):
+            if reason not in (None, WARMING_UP, *OVERRIDABLE_REASONS):
                 self._refuse(packet, envelope, reason or "", now)
                 return
-            if not self._has_room:
+            if reason == WARMING_UP or not self._has_room:
                 self._hold(packet, envelope, now)
                 return
+        elif not self._warm_up.has_room(now):
+            # The first packet was delivered here, so this copy can't open the flow elsewhere.
+            self._process.drop(WARMING_UP, flow=flow_text(packet.flow))
+            return
         self._admit(packet, envelope, now)
 
     def on_refused_by_upstream(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
@@ -125,7 +134,12 @@
 
     def admit_held(self, now: float) -> None:
         """Hand held packets to the upstream while it is below its limit, the newest first."""
-        while self._held_openings and self._is_available() and self._has_room:
+        while (
+            self._held_openings
+            and self._is_available()
+            and self._has_room
+            and self._warm_up.has_room(now)
+        ):
             waiting = self._held_openings.pop_newest()
             if waiting is None:
                 return
@@ -170,10 +184,12 @@
             return False
         others = self._process.directory.candidates(envelope.service_tag, now)
         own_address = self._process.settings.address
+        if reason == WARMING_UP:
+            others = [one for one in others if self._selector.is_available(one.agent, now)]
         agent = self._selector.choose(
             others, is_long=False, now=now, excluded=(own_address, *envelope.tried)
         )
-        if agent is None and reason not in OVERRIDABLE_REASONS:
+        if agent is None and reason not in (WARMING_UP, *OVERRIDABLE_REASONS):
             # All others were tried; one that was only busy may take the packet now.
             agent = self._selector.choose(others, is_long=False, now=now, excluded=(own_address,))
         if agent is None:
@@ -246,6 +262,8 @@
             return "evacuated"
         if not self._is_available():
             return "unavailable"
+        if not self._warm_up.has_room(now):
+            return WARMING_UP
         is_busy = self._flows.busy >= self._slots() or self._has_full_arrivals
         if is_busy and len(envelope.tried) < MAX_HANDOVERS:
             return "busy"
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -38,6 +38,7 @@
 from laburnumbridge.forwarding.load_reporter import REPORT_INTERVAL_S
 from laburnumbridge.forwarding.load_reporter import LoadReporter
 from laburnumbridge.forwarding.upstream_watch import UpstreamWatch
+from laburnumbridge.forwarding.warm_up_control import WarmUpControl
 
 if TYPE_CHECKING:
     from laburnumbridge.catalog import CatalogUpdate
@@ -115,6 +116,10 @@
             log=self.log,
             metrics=self.metrics,
             on_down=self._on_upstream_down,
+            on_up=lambda: self._warm_up.on_restart(self.loop.now()),
+        )
+        self._warm_up = WarmUpControl(
+            process=self, service=upstream.service, entry=lambda: self._own_entry
         )
         self._admission = AdmissionControl(
             process=self,
@@ -125,6 +130,7 @@
             slots=lambda: self._slots,
             is_available=lambda: self._is_available,
             is_evacuated=lambda: self._is_evacuated,
+            warm_up=self._warm_up,
             admit=self._admit,
             forward=self._forward,
             reset=self._reset,
@@ -165,6 +171,7 @@
         if entry is not None:
             self._was_listed = True
         self._flows.slots = 0 if entry is None else entry.slots
+        self._warm_up.on_view_change(self.loop.now(), is_evacuated=self._is_evacuated)
         if update.entries or update.removals:
             self._selector.retain(self.directory.listed_agents)
         if self._upstream.is_down and not self._has_draining_upstream:
@@ -250,6 +257,7 @@
     def _admit(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         """Hand an opening packet to the upstream."""
         self._flows.track_opening(packet.flow, now)
+        self._warm_up.on_opening(now)
         if envelope.hops:
             self._report_location(packet.flow, envelope.entry_address)
         self._deliver(packet, envelope)
@@ -336,6 +344,7 @@
             self._admission.on_refused_by_upstream(packet, envelope, now)
         elif was_open_here:
             # The flow was open here and its upstream has lost it: no other upstream can hold it.
+            self._warm_up.on_restart(now)
             if not packet.is_reset:
                 self._reset(packet.flow, packet.acknowledged, "lost_by_upstream")
         else:
@@ -397,6 +406,7 @@
         self.metrics.gauge("flows_open", self._flows.open_flows)
         self.metrics.gauge("requests_busy", self._flows.busy)
         self.metrics.gauge("requests_arriving", self._flows.arriving)
+        self.metrics.gauge("upstream_warming_up", self._warm_up.is_in_force(now))
         for seconds in self._flows.answer_seconds:
             self.metrics.observe("upstream_answer_seconds", seconds)
         self._flows.answer_seconds.clear()
@@ -428,7 +438,7 @@
             busy=self._flows.busy,
             open_flows=self._flows.open_flows,
             slots=self._slots,
-            is_available=self._is_available,
+            is_available=self._is_available and self._warm_up.has_room(self.loop.now()),
             is_failing=self._outlier_detector.is_failing(self.loop.now()),
             arriving=self._flows.arriving,
         )
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_settings.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_settings.py
@@ -31,7 +31,9 @@
 
     ``peer_port`` is the UDP port for datagrams between processes, the same on every VM. Peers
     connect to ``control_endpoint`` to share the view of the fleet; if it is None, the process only
-    connects to seeds. ``upstream`` is set for agents.
+    connects to seeds. ``upstream`` is set for agents. A cold upstream gets at most
+    ``warm_up_overage`` times the openings that it accepts and ``warm_up_slack`` more in a second;
+    None is no limit. ``failure_domains`` are the names of all failure domains, if they are given.
     """
 
     process: str
@@ -47,6 +49,9 @@
     stop_grace_s: float
     control_endpoint: str | None = None
     upstream: UpstreamSettings | None = None
+    warm_up_overage: float | None = None
+    warm_up_slack: float | None = None
+    failure_domains: list[str] | None = None
 
     def __post_init__(self) -> None:
         """Check the values that the types don't. Raises ValueError."""
@@ -65,6 +70,10 @@
         for name in ("flow_max_age_s", "stop_grace_s"):
             if getattr(self, name) <= 0:
                 raise ValueError(f"{name} must be above 0")
+        for name in ("warm_up_overage", "warm_up_slack"):
+            value = getattr(self, name)
+            if value is not None and value < 0:
+                raise ValueError(f"{name} must not be below 0")
 
     @property
     def packet_port(self) -> int:
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -144,6 +144,10 @@
         """
         return self._entry_by_upstream.get((agent, port, service))
 
+    def warm_up_ends_at(self, name: str) -> float:
+        """Return when the warm-up of the upstream with this entry ends; 0 if it isn't known."""
+        return self._warm_up_ends_at_by_name.get(name, 0.0)
+
     def search_order(self, tag: int) -> SearchOrder:
         """Return the order of search for flows of a route whose service now has the tag."""
         return SearchOrder(
--- a/libs/forwarding/src/laburnumbridge/forwarding/upstream_watch.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/upstream_watch.py
@@ -32,7 +32,8 @@
     """Detects an upstream that leaves opening packets unanswered, and probes whether it has ended.
 
     An unresponsive upstream only gets no new flows. If a probe's connection is refused, no process
-    listens: the upstream is down, and ``on_down`` is called once. Any packet from the upstream ends
+    listens: the upstream is down, and ``on_down`` is called once; ``on_up`` is called when it runs
+    again. Any packet from the upstream ends
     both states, and so does a probe that connects.
     """
 
@@ -45,12 +46,14 @@
         log: DecisionLog,
         metrics: Metrics,
         on_down: Callable[[], None],
+        on_up: Callable[[], None],
     ) -> None:
         self._loop = loop
         self._endpoint = endpoint
         self._log = log
         self._metrics = metrics
         self._on_down = on_down
+        self._on_up = on_up
         self._probe = UpstreamProbe(
             loop=loop, network=network, endpoint=endpoint, on_outcome=self._on_probed
         )
@@ -114,6 +117,8 @@
 
     def _recover(self) -> None:
         if self._is_unresponsive or self.is_down:
+            if self.is_down:
+                self._on_up()
             self._is_unresponsive = self.is_down = False
             self._log.write(Event.UPSTREAM_STARTED, upstream=self._endpoint[0])
 
--- a/libs/forwarding/tests/test_evacuation.py
+++ b/libs/forwarding/tests/test_evacuation.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from laburnumbridge.catalog.evacuations import EvacuationState
@@ -93,6 +95,84 @@
         assert fleet.lines(Event.FLOW_HANDED_OVER, "evacuated")
 
 
+@pytest.fixture
+def limited_fleet(tmp_path):
+    limits = {"warm_up_overage": 1.5, "warm_up_slack": 5}
+    fleet = SimulatedFleet(
+        directory=tmp_path, agents=3, failure_domains=DOMAINS, extra_settings=limits
+    )
+    fleet.start()
+    fleet.configure(version=2, warm_up_s=2.0)
+    fleet.simulation.run_for(1.0)
+    return fleet
+
+
+def opened_by_second(fleet, address, seconds):
+    """Open 40 flows a second; return the openings at ``address`` in each window of 50 ms."""
+    counts = []
+    for _ in range(int(seconds / 0.05)):
+        before = len(fleet.upstream_by_address[address].openings)
+        open_flows(fleet, count=2, interval_s=0.025)
+        counts.append(len(fleet.upstream_by_address[address].openings) - before)
+    return counts
+
+
+def most_in_a_second(counts):
+    return max(sum(counts[start : start + 20]) for start in range(len(counts)))
+
+
+def open_at_cold_upstreams(fleet):
+    """Return the flows, and the most openings that one upstream got within 0.9 s."""
+    for address in fleet.agents:
+        fleet.platform.put(replace(fleet.entry(address), warm_up_left_ms=2_000, started_ms=2))
+    fleet.simulation.run_for(0.5)
+    before = [len(upstream.openings) for upstream in fleet.upstream_by_address.values()]
+    flows = open_flows(fleet, count=40, interval_s=0.01)
+    fleet.simulation.run_for(0.5)
+    after = [len(upstream.openings) for upstream in fleet.upstream_by_address.values()]
+    return flows, max(end - start for start, end in zip(before, after, strict=True))
+
+
+class TestLimitOfColdUpstreams:
+    def test_a_domain_that_is_taken_back(self, limited_fleet):
+        # Guards against a burst of openings at upstreams that became cold while they had none,
+        # and against a limit that outlasts the warm-up.
+        fleet = limited_fleet
+        fleet.platform.evacuate("south")
+        fleet.simulation.run_for(EVACUATE_S)
+        fleet.platform.evacuate("south", is_evacuated=False)
+        address = fleet.agents[1]
+        assert most_in_a_second(opened_by_second(fleet, address, 2.0)) <= 5
+        fleet.simulation.run_for(3.0)
+        assert most_in_a_second(opened_by_second(fleet, address, 2.0)) > 5
+
+    def test_an_agent_that_restarts_beside_a_cold_upstream(self, limited_fleet):
+        # Guards against twice the openings, since the new process doesn't know of the first ones.
+        fleet = limited_fleet
+        address = fleet.agents[1]
+        fleet.platform.put(replace(fleet.entry(address), warm_up_left_ms=4_000, started_ms=2))
+        counts = opened_by_second(fleet, address, 0.6)
+        fleet.kill(address)
+        fleet.start_process(address)
+        counts += opened_by_second(fleet, address, 2.0)
+        assert 0 < most_in_a_second(counts) <= 5
+
+    def test_all_upstreams_are_cold(self, limited_fleet):
+        # Guards against openings that are passed on without an end, that get neither an answer nor
+        # a refusal, or that exceed the limit where no upstream has room.
+        flows, most = open_at_cold_upstreams(limited_fleet)
+        assert most == 5
+        limited_fleet.simulation.run_for(3.0)
+        assert all(flow.answers or flow.was_reset for flow in flows)
+        assert sum(bool(flow.answers) for flow in flows) >= 5 * len(limited_fleet.agents)
+
+    def test_there_is_no_limit_without_the_setting(self, fleet):
+        # Guards against a deployment without the bounds whose new upstreams get fewer openings.
+        fleet.configure(version=2, warm_up_s=2.0)
+        _, most = open_at_cold_upstreams(fleet)
+        assert most > 5
+
+
 class TestFailures:
     def test_a_reader_that_is_cut_off(self, fleet):
         # Guards against an evacuation that waits for the one reader whose platform is silent.
--- a/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
@@ -9,6 +9,7 @@
 from laburnumbridge.catalog import Route
 from laburnumbridge.catalog import RoutingConfiguration
 from laburnumbridge.catalog import ServiceShare
+from laburnumbridge.catalog import ServiceWarmUp
 from laburnumbridge.catalog import UpstreamEntry
 from laburnumbridge.standins.flows.process_settings import SECOND_SERVICE_NAME
 from laburnumbridge.standins.flows.process_settings import SERVICE_NAME
@@ -31,8 +32,12 @@
     timeout_ms: int = 0,
     weight_by_service: Mapping[str, int] = ONE_SERVICE,
     services: tuple[str, ...] = SERVICES,
+    warm_up_s: float = 0.0,
 ) -> RoutingConfiguration:
-    """Return routes from ``endpoints``; ``timeout_ms`` 0 is no time-out."""
+    """Return routes from ``endpoints``; ``timeout_ms`` 0 is no time-out.
+
+    Upstreams are cold for ``warm_up_s`` after their start.
+    """
     return RoutingConfiguration(
         version=version,
         routes=tuple(
@@ -52,6 +57,11 @@
         ),
         idle_timeout_ms=IDLE_TIMEOUT_MS,
         services=services,
+        warm_ups=tuple(
+            ServiceWarmUp(service=service, warm_up_s=warm_up_s, openings_per_s=0.0)
+            for service in services
+            if warm_up_s
+        ),
     )
 
 
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -137,6 +137,7 @@
         timeout_ms: int = 0,
         weight_by_service: Mapping[str, int] = ONE_SERVICE,
         services: tuple[str, ...] = SERVICES,
+        warm_up_s: float = 0.0,
     ) -> None:
         """Publish a configuration with routes from ``endpoints``."""
         self.platform.configure(
@@ -146,6 +147,7 @@
                 timeout_ms=timeout_ms,
                 weight_by_service=weight_by_service,
                 services=services,
+                warm_up_s=warm_up_s,
             )
         )
 
