Report evacuations to the operator

Cause: nothing showed whether the fleet had heard of an evacuation.

Result: on the simulated fleet each process logs a change once and shows it in its gauges; `flow status` prints the domain.

--- a/libs/cli/src/laburnumbridge/cli/commands/flow_status_command.py
+++ b/libs/cli/src/laburnumbridge/cli/commands/flow_status_command.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import typer
@@ -37,7 +38,19 @@
         if self._as_json:
             typer.echo(to_json(statuses))
         else:
-            make_console().print(build_status_table(statuses))
+            console = make_console()
+            console.print(build_status_table(statuses))
+            for line in describe_evacuations(statuses):
+                console.print(line, markup=False)
+
+
+def describe_evacuations(statuses: Sequence[ForwardingStatus]) -> list[str]:
+    """Return a line for each evacuated failure domain, with the number of processes that know."""
+    count_by_domain = Counter(domain for status in statuses for domain in status.evacuated)
+    return [
+        f"Evacuated: {domain} (in the view of {count} of {len(statuses)} processes)"
+        for domain, count in sorted(count_by_domain.items())
+    ]
 
 
 def build_status_table(statuses: Sequence[ForwardingStatus]) -> Table:
--- a/libs/cli/src/laburnumbridge/cli/forwarding_status.py
+++ b/libs/cli/src/laburnumbridge/cli/forwarding_status.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,9 @@
 TIMEOUT_S = 2.0
 """A process answers in milliseconds; a stopped one must not delay the others for long."""
 _PREFIX = "laburnumbridge_"
+_EVACUATED = re.compile(
+    r'^laburnumbridge_failure_domain_evacuated\{domain="(.*)"\} 1$', re.MULTILINE
+)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -22,7 +26,8 @@
     """Status of one process.
 
     ``readiness`` is the text that the process answers, or why there is no answer. Figures are None
-    where the process didn't answer or has no such figure.
+    where the process didn't answer or has no such figure. ``evacuated`` names the failure domains
+    that are evacuated in the view of the process.
     """
 
     process: str
@@ -34,6 +39,7 @@
     arriving: float | None = None
     resets: float | None = None
     drops: float | None = None
+    evacuated: tuple[str, ...] = ()
 
 
 def read_forwarding_status(settings: ForwardingSettings) -> ForwardingStatus:
@@ -41,10 +47,11 @@
     role = "balancer" if settings.upstream is None else "agent"
     try:
         readiness = _get(parse_endpoint(settings.ready_endpoint), "/readyz")
-        figures = parse_metrics(_get((settings.address, settings.metrics_port), "/metrics"))
+        metrics = _get((settings.address, settings.metrics_port), "/metrics")
     except (OSError, http.client.HTTPException) as error:
         reason = f"no answer: {error or type(error).__name__}"
         return ForwardingStatus(process=settings.process, role=role, readiness=reason)
+    figures = parse_metrics(metrics)
     return ForwardingStatus(
         process=settings.process,
         role=role,
@@ -55,6 +62,7 @@
         arriving=figures.get("requests_arriving"),
         resets=figures.get("flow_resets_total", 0.0),
         drops=figures.get("packets_dropped_total", 0.0),
+        evacuated=tuple(_EVACUATED.findall(metrics)),
     )
 
 
--- a/libs/cli/tests/test_flow_status_command.py
+++ b/libs/cli/tests/test_flow_status_command.py
@@ -23,6 +23,8 @@
     metrics.gauge("flows_known", 12)
     metrics.gauge("view_age_seconds", 0.5)
     metrics.gauge("requests_busy", 2)
+    metrics.gauge('failure_domain_evacuated{domain="south 1"}', True)
+    metrics.gauge('failure_domain_evacuated{domain="north"}', False)
     metrics.gauge("requests_arriving", 5)
     metrics.observe("loop_lag_seconds", 0.01)
     return metrics
@@ -81,6 +83,7 @@
         assert (first["flows"], first["resets"], first["drops"]) == (12, 3, 4)
         assert first["view_age_s"] == 0.5
         assert (first["busy"], first["arriving"]) == (2, 5)
+        assert first["evacuated"] == ["south 1"]
         assert second["readiness"].startswith("no answer: ")
         assert second["flows"] is None
 
@@ -90,6 +93,7 @@
         output = capsys.readouterr().out
         assert "edge-1" in output
         assert "no agent answers" in output
+        assert "Evacuated: south 1 (in the view of 1 of 1 processes)" in output
 
     def test_bad_settings_are_named(self, tmp_path, capsys):
         # Guards against a command that queries some processes before it finds the fault.
--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -105,6 +105,8 @@
             on_update=lambda update: self._propagate(update, None),
         )
         self._logged_revision = NO_REVISION
+        self._logged_evacuations: frozenset[str] = frozenset()
+        self._ignored_evacuations: frozenset[str] = frozenset()
         self._listener: StreamListener | None = None
         if settings.control_endpoint is not None:
             self._listener = network.listener(
@@ -281,6 +283,7 @@
         source_name = "platform" if source is None else source.endpoint
         self._log_restore(source_name)
         self._log_changes(update, source_name)
+        self._log_evacuations(source_name)
         self._on_change(update)
         now = self._loop.now()
         heartbeat = self.catalog.heartbeat(now)
@@ -338,6 +341,34 @@
                 source=source,
             )
 
+    def _log_evacuations(self, source: str) -> None:
+        """Log domains that are evacuated or taken back, and unknown ones that have no effect."""
+        register = self.catalog.evacuations
+        evacuated = self.catalog.evacuated_domains
+        if register is None or not (evacuated or self._logged_evacuations):
+            return
+        known = {self._settings.failure_domain, *(self._settings.failure_domains or ())}
+        if evacuated - known:
+            known |= {entry.failure_domain for entry in self.catalog.entry_by_name.values()}
+        for domain in sorted(evacuated - known - self._ignored_evacuations):
+            reason = "no upstream and no setting names this failure domain"
+            self._log.write(Event.ITEM_IGNORED, key=domain, reason=reason)
+        self._ignored_evacuations = evacuated - known
+        evacuated &= known
+        for domain in sorted(evacuated ^ self._logged_evacuations):
+            is_evacuated = domain in evacuated
+            self._log.write(
+                Event.EVACUATION_CHANGED,
+                outcome="evacuated" if is_evacuated else "taken_back",
+                failure_domain=domain,
+                revision=register.revision,
+                source=source,
+            )
+            name = f'failure_domain_evacuated{{domain="{_label(domain)}"}}'
+            self._metrics.gauge(name, is_evacuated)
+        self._logged_evacuations = evacuated
+        self._metrics.gauge("failure_domains_evacuated", len(evacuated))
+
     def _send_heartbeats(self) -> None:
         now = self._loop.now()
         data = encode_update(self.catalog.heartbeat(now))
@@ -353,5 +384,10 @@
         link.stream.send(encode_update(update))
 
 
+def _label(text: str) -> str:
+    """Return ``text`` as the value of a label; special characters are replaced by ``?``."""
+    return "".join(one if " " <= one <= "~" and one not in '"\\' else "?" for one in text)
+
+
 def _rounded(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 3)
--- a/libs/forwarding/tests/test_evacuation.py
+++ b/libs/forwarding/tests/test_evacuation.py
@@ -173,6 +173,34 @@
         assert most > 5
 
 
+class TestReports:
+    def test_each_process_reports_a_change_once(self, fleet):
+        # Guards against an operator who can't see whether the fleet has heard of an evacuation.
+        fleet.platform.evacuate("north")
+        fleet.simulation.run_for(2.0)
+        processes = fleet.process_by_address.values()
+        assert len(fleet.lines(Event.EVACUATION_CHANGED, "evacuated")) == len(processes)
+        for process in processes:
+            page = process.metrics.render().decode()
+            assert "laburnumbridge_failure_domains_evacuated 1\n" in page
+            assert 'laburnumbridge_failure_domain_evacuated{domain="north"} 1\n' in page
+        fleet.platform.evacuate("north", is_evacuated=False)
+        fleet.simulation.run_for(2.0)
+        assert len(fleet.lines(Event.EVACUATION_CHANGED, "taken_back")) == len(processes)
+        assert b"failure_domains_evacuated 0\n" in next(iter(processes)).metrics.render()
+
+    def test_an_unknown_domain_is_logged_and_evacuates_nothing(self, fleet):
+        # Guards against a misspelt name that the operator takes for an evacuation.
+        fleet.platform.evacuate("nroth")
+        fleet.simulation.run_for(2.0)
+        open_flows(fleet)
+        (key,) = {line["key"] for line in fleet.lines(Event.ITEM_IGNORED)}
+        assert key == "nroth"
+        assert len(fleet.lines(Event.ITEM_IGNORED)) == len(fleet.process_by_address)
+        assert not fleet.lines(Event.EVACUATION_CHANGED)
+        assert not fleet.lines(Event.FLOW_RESET)
+
+
 class TestFailures:
     def test_a_reader_that_is_cut_off(self, fleet):
         # Guards against an evacuation that waits for the one reader whose platform is silent.
