Evacuate failure domains in the fault soak

Cause: the soak had all processes in one failure domain and evacuated none, so nothing checked an evacuation among other faults on real processes.

Change: processes and upstreams are spread over two domains. A seed also has evacuations, drawn apart from its other faults, which stay the same. A silent platform acknowledges the write when it answers again; the operator repeats it after a restore. Each opening packet that reaches an upstream of the domain from 5 s after the acknowledgement until the removal is a violation.

Longer soaks weren't run.

--- a/libs/standins/src/laburnumbridge/standins/flows/fault_injector.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_injector.py
@@ -10,7 +10,9 @@
 
 from laburnumbridge.standins.flows.fault_proxy import ProxyFault
 from laburnumbridge.standins.flows.fault_schedule import FaultKind
+from laburnumbridge.standins.flows.invariant_checks import Evacuation
 from laburnumbridge.standins.flows.platform_data import make_entry
+from laburnumbridge.standins.flows.process_fleet import FAILURE_DOMAINS
 
 if TYPE_CHECKING:
     from laburnumbridge.forwarding.network import Loop
@@ -49,8 +51,9 @@
 class FaultInjector:
     """Kills, terminates and pauses processes, and injects faults into what they depend on.
 
-    Counts each fault in ``findings``. Adds a violation for a process that has started and doesn't
-    exit with code 0 within ``stop_timeout_s`` seconds of SIGTERM.
+    Counts each fault in ``findings``; ``evacuations`` has those that have ended. Adds a violation
+    for a process that has started and doesn't exit with code 0 within ``stop_timeout_s`` seconds of
+    SIGTERM.
     """
 
     def __init__(
@@ -62,6 +65,9 @@
         self._stop_timeout_s = stop_timeout_s
         self._stopped_addresses: set[str] = set()
         self._copy: PlatformCopy | None = None
+        self._planned_evacuations: set[str] = set()
+        self._acknowledged_at_by_domain: dict[str, float] = {}
+        self.evacuations: list[Evacuation] = []
         loop.call_every(COPY_INTERVAL_S, self._copy_platform)
 
     def inject(self, fault: Fault) -> None:
@@ -92,6 +98,8 @@
             self._fleet.configure()
         elif fault.kind is FaultKind.MOVE_ROUTE:
             self._fleet.move_route()
+        elif fault.kind is FaultKind.EVACUATE:
+            self._evacuate(fault)
         elif fault.kind is FaultKind.FOREIGN_ENTRY:
             self._publish_foreign_entry(address, fault)
         elif fault.kind is FaultKind.RELOAD:
@@ -162,10 +170,42 @@
         """Publish an entry of another writer for the VM at ``address``, and remove it later."""
         name = f"other-writer-{fault.at}"
         variant = _FOREIGN_VARIANTS[int(fault.target * 1_000) % len(_FOREIGN_VARIANTS)]
-        entry = make_entry(address, slots=1, service=self._fleet.service(address))
+        entry = make_entry(
+            address,
+            slots=1,
+            service=self._fleet.service(address),
+            failure_domain=self._fleet.failure_domain(address),
+        )
         self._fleet.platform.put(replace(entry, name=name, **variant))
         self._loop.call_later(fault.duration_s, partial(self._fleet.platform.remove, name))
 
+    def _evacuate(self, fault: Fault) -> None:
+        """Evacuate a failure domain until the fault ends, unless it is evacuated already."""
+        domain = FAILURE_DOMAINS[int(fault.target * len(FAILURE_DOMAINS))]
+        if domain not in self._planned_evacuations:
+            self._planned_evacuations.add(domain)
+            self._write_evacuation(domain)
+            self._loop.call_later(fault.duration_s, partial(self._take_back, domain))
+
+    def _write_evacuation(self, domain: str) -> None:
+        """Write the item; a silent platform acknowledges it only when it answers again."""
+        if domain not in self._planned_evacuations:
+            return
+        if self._fleet.platform.is_unresponsive:
+            self._loop.call_later(POLL_INTERVAL_S, partial(self._write_evacuation, domain))
+            return
+        self._fleet.evacuate(domain)
+        self._acknowledged_at_by_domain[domain] = self._loop.now()
+
+    def _take_back(self, domain: str) -> None:
+        self._planned_evacuations.discard(domain)
+        acknowledged_at = self._acknowledged_at_by_domain.pop(domain, None)
+        if acknowledged_at is not None:
+            self._fleet.take_back(domain)
+            self.evacuations.append(
+                Evacuation(domain=domain, since=acknowledged_at, until=self._loop.now())
+            )
+
     def _resume_platform(self) -> None:
         self._fleet.platform.is_unresponsive = False
 
--- a/libs/standins/src/laburnumbridge/standins/flows/fault_schedule.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_schedule.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from laburnumbridge.core import Choice
+from laburnumbridge.core import hash64
 
 MEAN_INTERVAL_S = 0.8
 """With faults of one to four seconds about three are active at any time."""
@@ -14,6 +15,12 @@
 REPEATED_SHARE = 0.25
 """Share of the faults that are injected three times in a row, on the same or on other targets."""
 REPEAT_INTERVAL_S = 0.4
+EVACUATION_MEAN_INTERVAL_S = 6.0
+"""In a soak of 20 s a seed has one or two evacuations that end before it does."""
+MIN_EVACUATION_S = 0.3
+"""Shorter than the time in which a change reaches all processes."""
+MAX_EVACUATION_S = 12.0
+"""No opening may reach the domain after 5 s, so the check covers up to 7 s."""
 
 
 class FaultKind(Enum):
@@ -38,13 +45,14 @@
     PROXY_RESET = "proxy_reset"
     PROXY_SILENCE = "proxy_silence"
     PROXY_CUT_REPLIES = "proxy_cut_replies"
+    EVACUATE = "evacuate"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Fault:
     """One fault, ``at`` seconds after the start of the schedule.
 
-    ``target`` lies in [0, 1) and selects a process, an upstream or a proxy.
+    ``target`` lies in [0, 1) and selects a process, an upstream, a proxy or a failure domain.
     """
 
     at: float
@@ -56,8 +64,8 @@
 def make_schedule(*, seed: int, seconds: float) -> list[Fault]:
     """Return the faults of a seed, sorted by start time; all end before ``seconds``."""
     choice = Choice(seed=seed)
-    kinds = list(FaultKind)
-    faults = []
+    kinds = [kind for kind in FaultKind if kind is not FaultKind.EVACUATE]
+    faults = _make_evacuations(seed=seed, seconds=seconds)
     at = 0.0
     while True:
         at += 2 * MEAN_INTERVAL_S * choice.fraction()
@@ -72,3 +80,21 @@
             target = target if choice.fraction() < 0.5 else choice.fraction()
         if at >= seconds:
             return sorted(faults, key=lambda fault: fault.at)
+
+
+def _make_evacuations(*, seed: int, seconds: float) -> list[Fault]:
+    """Return the evacuations of a seed; the other faults don't depend on them."""
+    choice = Choice(seed=hash64(b"evacuations %d" % seed))
+    faults: list[Fault] = []
+    at = 0.0
+    while True:
+        at += 2 * EVACUATION_MEAN_INTERVAL_S * choice.fraction()
+        if at >= seconds:
+            return faults
+        duration_s = MIN_EVACUATION_S
+        duration_s += (MAX_EVACUATION_S - MIN_EVACUATION_S) * choice.fraction()
+        target = choice.fraction()
+        if at + duration_s < seconds:
+            faults.append(
+                Fault(at=at, kind=FaultKind.EVACUATE, target=target, duration_s=duration_s)
+            )
--- a/libs/standins/src/laburnumbridge/standins/flows/fault_soak.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_soak.py
@@ -17,6 +17,7 @@
 from laburnumbridge.standins.flows.fault_injector import FaultInjector
 from laburnumbridge.standins.flows.fault_schedule import make_schedule
 from laburnumbridge.standins.flows.invariant_checks import SoakFindings
+from laburnumbridge.standins.flows.invariant_checks import check_evacuations
 from laburnumbridge.standins.flows.invariant_checks import check_invariants
 from laburnumbridge.standins.flows.invariant_checks import flow_name
 from laburnumbridge.standins.flows.process_fleet import ProcessFleet
@@ -189,6 +190,12 @@
 
     def _collect_violations(self) -> None:
         check_invariants(self._flows, self._fleet.all_upstreams, self.findings)
+        check_evacuations(
+            self._injector.evacuations,
+            self._fleet.all_upstreams,
+            self._fleet.failure_domain,
+            self.findings,
+        )
         for flow, request in self._unanswered_calm_requests():
             state = "open" if flow.is_open else "given up" if flow.has_timed_out else "reset"
             self.findings.violations.append(
--- a/libs/standins/src/laburnumbridge/standins/flows/invariant_checks.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/invariant_checks.py
@@ -10,6 +10,7 @@
 from laburnumbridge.core import unpack_ipv4
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from laburnumbridge.flows import FlowKey
@@ -17,6 +18,19 @@
     from laburnumbridge.standins.flows.upstream_stand_in import UpstreamStandIn
 
 
+EVACUATE_S = 5.0
+"""From the acknowledgement of the operator's write until no opening reaches the domain."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Evacuation:
+    """A failure domain was evacuated from ``since`` until ``until``, in seconds of the loop."""
+
+    domain: str
+    since: float
+    until: float
+
+
 @dataclass(kw_only=True, slots=True)
 class SoakFindings:
     """Descriptions of violated invariants, and counts of events by name."""
@@ -44,6 +58,31 @@
         _check_flow(flow, upstreams, findings)
 
 
+def check_evacuations(
+    evacuations: Iterable[Evacuation],
+    upstreams: Iterable[UpstreamStandIn],
+    failure_domain: Callable[[str], str],
+    findings: SoakFindings,
+) -> None:
+    """Add a violation for each opening that reached an upstream of an evacuated failure domain.
+
+    ``failure_domain`` returns the domain of an address. Openings count from ``EVACUATE_S`` after
+    the operator's write until the removal.
+    """
+    upstreams = list(upstreams)
+    for evacuation in evacuations:
+        due_at = evacuation.since + EVACUATE_S
+        findings.counts["evacuations_checked"] += due_at < evacuation.until
+        findings.violations += [
+            f"flow {flow_name(flow)} reached {upstream.endpoint[0]} {at - evacuation.since:.2f} s"
+            f" after the evacuation of {evacuation.domain}"
+            for upstream in upstreams
+            if failure_domain(upstream.endpoint[0]) == evacuation.domain
+            for at, flow in upstream.opening_attempts
+            if due_at < at < evacuation.until
+        ]
+
+
 def _check_flow(flow: ClientFlow, upstreams: list[UpstreamStandIn], findings: SoakFindings) -> None:
     name = flow_name(flow.key)
     for request, answer in flow.answers.items():
--- a/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
@@ -45,6 +45,7 @@
 SECOND_SERVICE_AGENTS = 2
 SLOTS = 4
 WORK_S = 0.02
+FAILURE_DOMAINS = ("north", "south")
 
 
 class ProcessFleet:
@@ -52,7 +53,8 @@
 
     Each process connects to the platform and the seeds through its own fault proxies.
     ``all_upstreams`` lists every upstream in the order of starts, also those that have crashed.
-    The last ``SECOND_SERVICE_AGENTS`` agents are beside upstreams of the second service.
+    The last ``SECOND_SERVICE_AGENTS`` agents are beside upstreams of the second service. Processes
+    and upstreams are spread over ``FAILURE_DOMAINS`` in turn.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self._starts_by_address: Counter[str] = Counter()
         self.version = 1
         self._routed_service = SERVICE_NAME
+        self._evacuated_domains: set[str] = set()
 
     def start(self) -> None:
         """Start everything without waiting; the caller waits for ``ready_balancers``."""
@@ -142,6 +145,8 @@
     def republish(self) -> None:
         """Write again what the operator and the running upstreams have written."""
         self._publish_configuration()
+        for domain in FAILURE_DOMAINS:
+            self.platform.evacuate(domain, is_evacuated=domain in self._evacuated_domains)
         for address, upstream in self.upstream_by_address.items():
             if upstream.is_running:
                 self.register_upstream(address, is_draining=not upstream.accepts)
@@ -159,6 +164,21 @@
             make_configuration(self.version, endpoints, weight_by_service=weight_by_service)
         )
 
+    def evacuate(self, domain: str) -> None:
+        """Write the item that evacuates a failure domain."""
+        self._evacuated_domains.add(domain)
+        self.platform.evacuate(domain)
+
+    def take_back(self, domain: str) -> None:
+        """Remove the item of a failure domain."""
+        self._evacuated_domains.discard(domain)
+        self.platform.evacuate(domain, is_evacuated=False)
+
+    def failure_domain(self, address: str) -> str:
+        """Return the failure domain of the process and the upstream at ``address``."""
+        number = int(address.rpartition(".")[2]) - 1
+        return FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+
     def service(self, address: str) -> str:
         """Return the service of the upstream at ``address``."""
         is_second = address in self.agents[-SECOND_SERVICE_AGENTS:]
@@ -190,6 +210,7 @@
             is_draining=is_draining,
             started_ms=started_ms,
             service=self.service(address),
+            failure_domain=self.failure_domain(address),
         )
         self.platform.put(entry)
 
@@ -215,6 +236,7 @@
             seeds=seeds,
             is_agent=is_agent,
             service=self.service(address),
+            failure_domain=self.failure_domain(address),
         )
         path.write_bytes(msgspec.json.encode(settings))
 
--- a/libs/standins/src/laburnumbridge/standins/flows/upstream_stand_in.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/upstream_stand_in.py
@@ -37,7 +37,8 @@
 
     A request ends with a packet that isn't full, and takes ``work_s`` seconds.
     ``started_requests`` lists the requests that have been started, ``openings`` the flows whose
-    opening packet was accepted. While ``accepts`` is False, opening packets of new flows are
+    opening packet was accepted. ``opening_attempts`` has the time and the flow of each opening
+    packet of a flow that isn't held. While ``accepts`` is False, opening packets of new flows are
     bounced.
     """
 
@@ -52,6 +53,7 @@
         work_s: float,
         seed: int,
     ) -> None:
+        self.endpoint = endpoint
         self._output = output
         self._slots = slots
         self.work_s = work_s
@@ -68,6 +70,7 @@
         self.accepts = True
         self.started_requests: list[bytes] = []
         self.openings: list[FlowKey] = []
+        self.opening_attempts: list[tuple[float, FlowKey]] = []
 
     @property
     def open_flows(self) -> int:
@@ -113,6 +116,7 @@
 
     def _on_opening(self, packet: FlowPacket, flow: _Flow | None) -> None:
         if flow is None:
+            self.opening_attempts.append((self._loop.now(), packet.flow))
             if not self.accepts:
                 self._send(self._codec.bounced(packet.raw))
                 return
--- a/libs/standins/tests/test_fault_schedule.py
+++ b/libs/standins/tests/test_fault_schedule.py
@@ -4,6 +4,7 @@
 
 from laburnumbridge.standins.flows.fault_schedule import FaultKind
 from laburnumbridge.standins.flows.fault_schedule import make_schedule
+from laburnumbridge.standins.flows.invariant_checks import EVACUATE_S
 
 SECONDS = 20.0
 
@@ -29,3 +30,10 @@
             pairs = list(itertools.pairwise(faults))
             assert any(second.at < first.at + first.duration_s for first, second in pairs)
         assert kinds == set(FaultKind)
+
+    def test_twenty_seeds_have_evacuations_that_are_long_enough_to_be_checked(self) -> None:
+        # Guards against a check of evacuations that none of them reaches.
+        faults = [one for seed in range(20) for one in make_schedule(seed=seed, seconds=SECONDS)]
+        evacuations = [fault for fault in faults if fault.kind is FaultKind.EVACUATE]
+        assert sum(fault.duration_s > EVACUATE_S for fault in evacuations) >= 10
+        assert any(fault.duration_s < 1.0 for fault in evacuations)
--- a/libs/standins/tests/test_fault_soak.py
+++ b/libs/standins/tests/test_fault_soak.py
@@ -7,7 +7,10 @@
 import pytest
 
 from laburnumbridge.standins.flows.fault_soak import FaultSoak
+from laburnumbridge.standins.flows.invariant_checks import EVACUATE_S
+from laburnumbridge.standins.flows.invariant_checks import Evacuation
 from laburnumbridge.standins.flows.invariant_checks import SoakFindings
+from laburnumbridge.standins.flows.invariant_checks import check_evacuations
 from laburnumbridge.standins.flows.invariant_checks import check_invariants
 from laburnumbridge.standins.flows.process_settings import SERVICE
 from laburnumbridge.standins.flows.simulated_fleet import SimulatedFleet
@@ -31,6 +34,16 @@
         assert findings.counts["answered"] > 0
 
 
+    def test_no_opening_reaches_an_evacuated_domain(self, tmp_path: Path) -> None:
+        # Guards against openings in an evacuated domain while processes are stopped and cut off;
+        # the only evacuation of this seed ends 1.7 s after the check of it begins.
+        findings = FaultSoak(
+            directory=tmp_path, seed=39, seconds=SECONDS, timeout_s=HANG_TIMEOUT_S
+        ).run()
+        assert findings.counts["evacuations_checked"] == 1
+        assert findings.violations == []
+
+
 class TestInvariantChecks:
     """Each check reports the violation that it exists for."""
 
@@ -57,6 +70,23 @@
         check_invariants([flow], [], findings)
         assert len(findings.violations) == 1
 
+    def test_opening_in_an_evacuated_domain_is_a_violation(self, fleet: SimulatedFleet) -> None:
+        # Guards against a check that never sees an opening, and against violations in the five
+        # seconds after the write, after the removal or in another domain.
+        start = fleet.simulation.now
+        for _ in range(8):
+            fleet.client.open_flow(SERVICE)
+        fleet.simulation.run_for(0.5)
+        count_by_since = {}
+        for since in (start - EVACUATE_S, start, start - 3 * EVACUATE_S):
+            findings = SoakFindings()
+            evacuation = Evacuation(domain="north", since=since, until=since + 2 * EVACUATE_S)
+            for domain in ("north", "south"):
+                upstreams = fleet.upstream_by_address.values()
+                check_evacuations([evacuation], upstreams, lambda _, one=domain: one, findings)
+            count_by_since[since - start] = len(findings.violations)
+        assert count_by_since == {-EVACUATE_S: 8, 0.0: 0, -3 * EVACUATE_S: 0}
+
     @pytest.mark.parametrize("has_crashed", [False, True])
     def test_reset_is_a_violation_unless_the_upstream_crashed(
         self, fleet: SimulatedFleet, has_crashed: bool
