--- a/libs/catalog/src/laburnumbridge/catalog/records.py
+++ b/libs/catalog/src/laburnumbridge/catalog/records.py
@@ -67,22 +67,35 @@
     priority: int = 0
 
 
+class ServiceWarmUp(msgspec.Struct, frozen=True, kw_only=True):
+    """Upstreams of ``service`` are cold for ``warm_up_s`` after their start.
+
+    A cold one accepts ``openings_per_s`` openings each second.
+    """
+
+    service: str
+    warm_up_s: float
+    openings_per_s: float
+
+
 class RoutingConfiguration(msgspec.Struct, frozen=True, kw_only=True):
     """All routes at one version; a flow may be idle for ``idle_timeout_ms``.
 
-    ``services`` are those that the operator has configured, also without a route.
+    ``services`` are those that the operator has configured, also without a route. ``warm_ups`` are
+    of the services whose upstreams are cold after their start.
     """
 
     version: int
     routes: tuple[Route, ...]
     idle_timeout_ms: int
     services: tuple[str, ...] = ()
+    warm_ups: tuple[ServiceWarmUp, ...] = ()
 
 
 class ConfigurationChange(msgspec.Struct, frozen=True, kw_only=True):
     """The change from the configuration of ``base_version`` to that of ``version``.
 
-    ``services`` is None if they are the same.
+    ``services`` and ``warm_ups`` are None if they are the same.
     """
 
     base_version: int
@@ -91,6 +104,7 @@
     removed: tuple[str, ...]
     idle_timeout_ms: int
     services: tuple[str, ...] | None = None
+    warm_ups: tuple[ServiceWarmUp, ...] | None = None
 
 
 class CatalogUpdate(msgspec.Struct, frozen=True, kw_only=True):
--- a/libs/forwarding/tests/test_evacuation.py
+++ b/libs/forwarding/tests/test_evacuation.py
@@ -1,12 +1,17 @@
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from laburnumbridge.catalog.evacuations import EvacuationState
 from laburnumbridge.core import Event
 from laburnumbridge.standins.flows.process_settings import PEER_PORT
 from laburnumbridge.standins.flows.process_settings import SERVICE
+from laburnumbridge.standins.flows.process_settings import UPSTREAM_PORT
+from laburnumbridge.standins.flows.simulated_fleet import CLIENT
 from laburnumbridge.standins.flows.simulated_fleet import SimulatedFleet
+from laburnumbridge.standins.flows.stand_in_packets import StandInPacketCodec
 
 DOMAINS = ("north", "south")
 EVACUATE_S = 5.0  # from the operator's write until no opening reaches the domain
@@ -58,13 +63,15 @@
 
 class TestEvacuation:
     def test_new_flows_avoid_the_domain_and_open_flows_stay(self, fleet):
-        # Guards against openings in an evacuated domain, against open flows that are reset by an
-        # evacuation, and against a domain that stays out of use after it.
+        # Guards against openings in an evacuated domain, against balancers that leave it to the
+        # agents to hand them over, against open flows that are reset by an evacuation, and against
+        # a domain that stays out of use after it.
         opened = open_flows(fleet)
         fleet.simulation.run_for(0.5)
         fleet.platform.evacuate("north")
         fleet.simulation.run_for(1.0)
         assert_nothing_opens(fleet, "north")
+        assert not fleet.lines(Event.FLOW_HANDED_OVER, "evacuated")
         for flow in opened:
             flow.request(b"second" + flow.key)
         fleet.simulation.run_for(2.0)
@@ -93,6 +100,151 @@
         assert fleet.lines(Event.FLOW_HANDED_OVER, "evacuated")
 
 
+@pytest.fixture
+def limited_fleet(tmp_path):
+    limits = {"warm_up_overage": 1.5, "warm_up_slack": 5}
+    fleet = SimulatedFleet(
+        directory=tmp_path, agents=3, failure_domains=DOMAINS, extra_settings=limits
+    )
+    fleet.start()
+    fleet.configure(version=2, warm_up_s=2.0)
+    fleet.simulation.run_for(1.0)
+    return fleet
+
+
+def opened_by_second(fleet, address, seconds):
+    """Open 40 flows a second; return the openings at ``address`` in each window of 50 ms."""
+    counts = []
+    for _ in range(int(seconds / 0.05)):
+        before = len(fleet.upstream_by_address[address].openings)
+        open_flows(fleet, count=2, interval_s=0.025)
+        counts.append(len(fleet.upstream_by_address[address].openings) - before)
+    return counts
+
+
+def most_in_a_second(counts):
+    return max(sum(counts[start : start + 20]) for start in range(len(counts)))
+
+
+def open_at_cold_upstreams(fleet):
+    """Return the flows, and the most openings that one upstream got within 0.9 s."""
+    for address in fleet.agents:
+        fleet.platform.put(replace(fleet.entry(address), warm_up_left_ms=2_000, started_ms=2))
+    fleet.simulation.run_for(0.5)
+    before = [len(upstream.openings) for upstream in fleet.upstream_by_address.values()]
+    flows = open_flows(fleet, count=40, interval_s=0.01)
+    fleet.simulation.run_for(0.5)
+    after = [len(upstream.openings) for upstream in fleet.upstream_by_address.values()]
+    return flows, max(end - start for start, end in zip(before, after, strict=True))
+
+
+class TestLimitOfColdUpstreams:
+    def test_a_domain_that_is_taken_back(self, limited_fleet):
+        # Guards against a burst of openings at upstreams that became cold while they had none,
+        # and against a limit that outlasts the warm-up.
+        fleet = limited_fleet
+        fleet.platform.evacuate("south")
+        fleet.simulation.run_for(EVACUATE_S)
+        fleet.platform.evacuate("south", is_evacuated=False)
+        address = fleet.agents[1]
+        assert most_in_a_second(opened_by_second(fleet, address, 2.0)) <= 5
+        fleet.simulation.run_for(3.0)
+        assert most_in_a_second(opened_by_second(fleet, address, 2.0)) > 5
+
+    def test_an_agent_that_restarts_beside_a_cold_upstream(self, limited_fleet):
+        # Guards against twice the openings, since the new process doesn't know of the first ones.
+        fleet = limited_fleet
+        address = fleet.agents[1]
+        fleet.platform.put(replace(fleet.entry(address), warm_up_left_ms=4_000, started_ms=2))
+        counts = opened_by_second(fleet, address, 0.6)
+        fleet.kill(address)
+        fleet.start_process(address)
+        counts += opened_by_second(fleet, address, 2.0)
+        assert 0 < most_in_a_second(counts) <= 5
+
+    def test_all_upstreams_are_cold(self, limited_fleet):
+        # Guards against openings that are passed on without an end, that get neither an answer nor
+        # a refusal, or that exceed the limit where no upstream has room.
+        flows, most = open_at_cold_upstreams(limited_fleet)
+        assert most == 5
+        limited_fleet.simulation.run_for(3.0)
+        assert all(flow.answers or flow.was_reset for flow in flows)
+        assert sum(bool(flow.answers) for flow in flows) >= 5 * len(limited_fleet.agents)
+
+    def test_copies_count_and_open_no_second_flow(self, limited_fleet):
+        # Guards against copies that exceed the limit, and against one that opens its flow at a
+        # second upstream, since the first was at its limit.
+        fleet = limited_fleet
+        codec, delivered = StandInPacketCodec(), []
+
+        def drop_opening_answers(datagram, endpoint):
+            if endpoint[1] == UPSTREAM_PORT and codec.decode_from_client(datagram).is_opening:
+                delivered.append((endpoint[0], fleet.simulation.now))
+            return endpoint == CLIENT and codec.decode_from_upstream(datagram).is_opening_answer
+
+        fleet.simulation.should_drop = drop_opening_answers
+        flows, _ = open_at_cold_upstreams(fleet)
+        assert fleet.lines(Event.PACKET_DROPPED, "warming_up")
+        for address, start in delivered:
+            times = [at for other, at in delivered if other == address]
+            assert sum(start <= at < start + 1.0 for at in times) <= 5
+        holders = [
+            sum(flow.key in upstream.openings for upstream in fleet.upstream_by_address.values())
+            for flow in flows
+        ]
+        assert max(holders) == 1
+
+    def test_there_is_no_limit_without_the_setting(self, fleet):
+        # Guards against a deployment without the bounds whose new upstreams get fewer openings.
+        fleet.configure(version=2, warm_up_s=2.0)
+        _, most = open_at_cold_upstreams(fleet)
+        assert most > 5
+
+
+class TestReports:
+    def test_each_process_reports_a_change_once(self, fleet):
+        # Guards against an operator who can't see whether the fleet has heard of an evacuation.
+        fleet.platform.evacuate("north")
+        fleet.simulation.run_for(2.0)
+        processes = fleet.process_by_address.values()
+        assert len(fleet.lines(Event.EVACUATION_CHANGED, "evacuated")) == len(processes)
+        for process in processes:
+            page = process.metrics.render().decode()
+            assert "laburnumbridge_failure_domains_evacuated 1\n" in page
+            assert 'laburnumbridge_failure_domain_evacuated{domain="north"} 1\n' in page
+        fleet.platform.evacuate("north", is_evacuated=False)
+        fleet.simulation.run_for(2.0)
+        assert len(fleet.lines(Event.EVACUATION_CHANGED, "taken_back")) == len(processes)
+        assert b"failure_domains_evacuated 0\n" in next(iter(processes)).metrics.render()
+
+    def test_an_unknown_domain_is_logged_and_evacuates_nothing(self, fleet):
+        # Guards against a misspelt name that the operator takes for an evacuation.
+        fleet.platform.evacuate("nroth")
+        fleet.simulation.run_for(2.0)
+        open_flows(fleet)
+        (key,) = {line["key"] for line in fleet.lines(Event.ITEM_IGNORED)}
+        assert key == "nroth"
+        assert len(fleet.lines(Event.ITEM_IGNORED)) == len(fleet.process_by_address)
+        assert not fleet.lines(Event.EVACUATION_CHANGED)
+        assert not fleet.lines(Event.FLOW_RESET)
+        for is_evacuated in (False, True):
+            fleet.platform.evacuate("nroth", is_evacuated=is_evacuated)
+            fleet.simulation.run_for(2.0)
+        assert len(fleet.lines(Event.ITEM_IGNORED)) == 2 * len(fleet.process_by_address)
+
+    def test_a_process_that_starts_knows_the_domain_of_its_upstreams(self, fleet):
+        # Guards against a warning at each start of a reader, which has the operator's items before
+        # it has the upstreams.
+        fleet.platform.evacuate("south")
+        fleet.simulation.run_for(2.0)
+        for balancer in fleet.balancers:
+            fleet.kill(balancer)
+            fleet.start_process(balancer)
+        fleet.simulation.run_for(2.0)
+        assert len(fleet.lines(Event.EVACUATION_CHANGED)) >= len(fleet.process_by_address)
+        assert not fleet.lines(Event.ITEM_IGNORED)
+
+
 class TestFailures:
     def test_a_reader_that_is_cut_off(self, fleet):
         # Guards against an evacuation that waits for the one reader whose platform is silent.
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -140,6 +140,7 @@
         services: tuple[str, ...] = SERVICES,
         target_latency_ms: int = 0,
         priority_by_endpoint: Mapping[Endpoint, int] = NO_PRIORITIES,
+        warm_up_s: float = 0.0,
     ) -> None:
         """Publish a configuration with routes from ``endpoints``."""
         self.platform.configure(
@@ -151,6 +152,7 @@
                 services=services,
                 target_latency_ms=target_latency_ms,
                 priority_by_endpoint=priority_by_endpoint,
+                warm_up_s=warm_up_s,
             )
         )
 
