--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -299,6 +299,7 @@
             removals=update.removals,
             configuration=update.configuration,
             configuration_change=update.configuration_change,
+            has_evacuation_change=update.has_evacuation_change,
         )
         data_by_compression: dict[bool, bytes] = {}
         for link in list(self._links):
--- a/libs/forwarding/src/laburnumbridge/forwarding/warm_up_control.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/warm_up_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from laburnumbridge.flows import WarmUpLimiter
@@ -9,6 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from laburnumbridge.catalog import ServiceWarmUp
     from laburnumbridge.catalog import UpstreamEntry
     from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
 
@@ -18,8 +20,9 @@
 
     It is in force while the upstream may be cold: its entry isn't known or says so, it was seen to
     restart, or an evacuation of its failure domain has ended lately. ``entry`` returns the entry of
-    the upstream of ``service``, or None. Without ``warm_up_overage`` in the settings, or without a
-    warm-up of the service in the configuration, there is no limit.
+    the upstream of ``service``, or None. Without ``warm_up_overage`` in the settings, or without
+    accepted openings of the service in the configuration, there is no limit. An agent without a
+    configuration delivers what is allowed in any case, ``warm_up_slack``.
     """
 
     def __init__(
@@ -32,25 +35,28 @@
         self._process = process
         self._service = service
         self._entry = entry
-        self._warm_up_s = 0.0
+        self._warm_up: ServiceWarmUp | None = None
         self._is_configured = False
         self._cold_since: float | None = None
         self._started_ms: int | None = None
         self._was_evacuated = False
-        self._limiter = WarmUpLimiter(
-            max_openings=self._max_openings(0.0), started_at=process.loop.now()
-        )
+        self._limiter = WarmUpLimiter(max_openings=self._max_openings(0.0), started_at=-math.inf)
 
     def on_view_change(self, now: float, *, is_evacuated: bool) -> None:
         """Note a change of the configuration, of the upstream's start or of an evacuation."""
         configuration = self._process.view.catalog.configuration
         if configuration is not None:
             found = [one for one in configuration.warm_ups if one.service == self._service]
+            is_first = not self._is_configured
             self._is_configured = True
-            self._warm_up_s = found[0].warm_up_s if found else 0.0
-            limit = self._max_openings(found[0].openings_per_s if found else 0.0)
-            if limit != self._limiter.max_openings:
-                self._limiter = WarmUpLimiter(max_openings=limit, started_at=now)
+            # An operator who publishes 0 has stated no limit: the slack alone would let a service
+            # whose upstreams have all restarted take a few openings a second.
+            self._warm_up = found[0] if found and found[0].openings_per_s > 0 else None
+            limit = self._max_openings(self._warm_up.openings_per_s if self._warm_up else 0.0)
+            if is_first or limit != self._limiter.max_openings:
+                self._limiter = WarmUpLimiter(
+                    max_openings=limit, started_at=self._started_at if is_first else now
+                )
         entry = self._entry()
         if entry is not None:
             if self._started_ms not in (None, entry.started_ms):
@@ -72,9 +78,10 @@
         """Return whether the openings of the upstream are limited."""
         if self._process.settings.warm_up_overage is None:
             return False
-        if self._is_configured and not self._warm_up_s:
+        if self._is_configured and self._warm_up is None:
             return False
-        if self._cold_since is not None and now - self._cold_since < self._warm_up_s:
+        warm_up_s = 0.0 if self._warm_up is None else self._warm_up.warm_up_s
+        if self._cold_since is not None and now - self._cold_since < warm_up_s:
             return True
         entry = self._entry()
         return entry is None or self._process.directory.warm_up_ends_at(entry.name) > now
--- a/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
@@ -36,10 +36,11 @@
     target_latency_ms: int = 0,
     priority_by_endpoint: Mapping[Endpoint, int] = NO_PRIORITIES,
     warm_up_s: float = 0.0,
+    openings_per_s: float = 0.2,
 ) -> RoutingConfiguration:
     """Return routes from ``endpoints``; ``timeout_ms`` 0 is no time-out.
 
-    Upstreams are cold for ``warm_up_s`` after their start.
+    Upstreams are cold for ``warm_up_s`` after their start, and take ``openings_per_s`` then.
     """
     return RoutingConfiguration(
         version=version,
@@ -63,7 +64,7 @@
         idle_timeout_ms=IDLE_TIMEOUT_MS,
         services=services,
         warm_ups=tuple(
-            ServiceWarmUp(service=service, warm_up_s=warm_up_s, openings_per_s=0.0)
+            ServiceWarmUp(service=service, warm_up_s=warm_up_s, openings_per_s=openings_per_s)
             for service in services
             if warm_up_s
         ),
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -141,6 +141,7 @@
         target_latency_ms: int = 0,
         priority_by_endpoint: Mapping[Endpoint, int] = NO_PRIORITIES,
         warm_up_s: float = 0.0,
+        openings_per_s: float = 0.2,
     ) -> None:
         """Publish a configuration with routes from ``endpoints``."""
         self.platform.configure(
@@ -153,6 +154,7 @@
                 target_latency_ms=target_latency_ms,
                 priority_by_endpoint=priority_by_endpoint,
                 warm_up_s=warm_up_s,
+                openings_per_s=openings_per_s,
             )
         )
 
