--- a/libs/forwarding/src/laburnumbridge/forwarding/warm_up_control.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/warm_up_control.py
@@ -40,6 +40,7 @@
         self._cold_since: float | None = None
         self._started_ms: int | None = None
         self._was_evacuated = False
+        self._started_at = process.loop.now()
         self._limiter = WarmUpLimiter(max_openings=self._max_openings(0.0), started_at=-math.inf)
 
     def on_view_change(self, now: float, *, is_evacuated: bool) -> None:
