Decide by small queries which agent holds a flow

Cause: a search for a flow without a record forwards its packet from agent to agent, and each tries its own upstream.

--- a/libs/flows/src/laburnumbridge/flows/__init__.py
+++ b/libs/flows/src/laburnumbridge/flows/__init__.py
@@ -6,6 +6,9 @@
 from laburnumbridge.flows.errors import MalformedPacketError
 from laburnumbridge.flows.errors import MalformedPeerDatagramError
 from laburnumbridge.flows.expiring_map import ExpiringMap
+from laburnumbridge.flows.flow_inquiry import Ask
+from laburnumbridge.flows.flow_inquiry import FlowInquiry
+from laburnumbridge.flows.flow_inquiry import InquiryResult
 from laburnumbridge.flows.flow_locations import FlowLocations
 from laburnumbridge.flows.flow_packet import FlowKey
 from laburnumbridge.flows.flow_packet import FlowPacket
@@ -17,6 +20,7 @@
 from laburnumbridge.flows.outlier_detector import OutlierDetector
 from laburnumbridge.flows.packet_buffer import PacketBuffer
 from laburnumbridge.flows.packet_codec import PacketCodec
+from laburnumbridge.flows.record_recovery import RecordRecovery
 from laburnumbridge.flows.search_order import SearchOrder
 from laburnumbridge.flows.search_order import SearchStep
 from laburnumbridge.flows.upstream_selector import Candidate
@@ -24,13 +28,16 @@
 
 __all__ = [
     "AgentRanking",
+    "Ask",
     "Candidate",
     "ExpiringMap",
+    "FlowInquiry",
     "FlowKey",
     "FlowLocations",
     "FlowPacket",
     "FlowState",
     "FlowTracker",
+    "InquiryResult",
     "MalformedPacketError",
     "MalformedPeerDatagramError",
     "OpeningDeadline",
@@ -38,6 +45,7 @@
     "OutlierDetector",
     "PacketBuffer",
     "PacketCodec",
+    "RecordRecovery",
     "SearchOrder",
     "SearchStep",
     "TrackedFlow",
--- a/libs/flows/src/laburnumbridge/flows/agent_ranking.py
+++ b/libs/flows/src/laburnumbridge/flows/agent_ranking.py
@@ -45,6 +45,10 @@
         )
         return [agent for _, agent in heapq.nlargest(count, weighted)]
 
+    def ranked(self, flow: FlowKey) -> list[str]:
+        """Return all agents in the order for ``flow``."""
+        return [agent for _, agent in sorted(self._weighted(flow, ()), reverse=True)]
+
     def first(self, flow: FlowKey, *, excluded: Container[str] = ()) -> str | None:
         """Return the first agent for ``flow`` that isn't excluded, or None."""
         return max(self._weighted(flow, excluded), default=(0, None))[1]
--- a/libs/flows/src/laburnumbridge/flows/expiring_map.py
+++ b/libs/flows/src/laburnumbridge/flows/expiring_map.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Generic
 from typing import TypeVar
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 K = TypeVar("K")
 V = TypeVar("V")
 
@@ -35,6 +39,16 @@
         entry = self._by_key.get(key)
         return entry[1] if entry and entry[0] > now else None
 
+    def keys(self) -> list[K]:
+        """Return all keys, also expired ones that weren't removed yet."""
+        return list(self._by_key)
+
+    def items(self, now: float) -> Iterator[tuple[K, V]]:
+        """Yield the entries that aren't expired."""
+        for key, (deadline, value) in self._by_key.items():
+            if deadline > now:
+                yield key, value
+
     def touch(self, key: K, now: float) -> V | None:
         """Return the value of ``key`` and restart its lifetime; None if missing or expired."""
         value = self.get(key, now)
--- a/libs/flows/src/laburnumbridge/flows/flow_tracker.py
+++ b/libs/flows/src/laburnumbridge/flows/flow_tracker.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from laburnumbridge.flows.expiring_map import ExpiringMap
 from laburnumbridge.flows.flow_packet import sequence_distance
 from laburnumbridge.flows.request_tracker import RequestPhase
 from laburnumbridge.flows.request_tracker import RequestTracker
@@ -20,6 +21,11 @@
 CLOSED_S = 4.0
 """A closed flow is tracked for the retransmissions of the last packet, 0.2 + 0.4 + 0.8 + 1.6 s, and
 a margin."""
+COMPLETE_MARGIN_S = 1.0
+"""An upstream closes an idle flow this much later at most than the idle time-out here says."""
+UNTRACKED_TTL_S = 30.0
+"""How long it is remembered whether the upstream may hold a flow that isn't tracked: twice the
+usual idle time-out, in which the upstream closes a flow itself."""
 UNANSWERED_PHASES = (RequestPhase.ARRIVING, RequestPhase.RUNNING)
 ANSWER_TIMES_LIMIT = 1_024
 """Answer times kept between two collections. They are collected twice a second, and an upstream
@@ -63,11 +69,17 @@
     Provides the open flows, the requests that the upstream is working on and those that are still
     arriving, and reports answers and resets to ``outlier_detector``. Keeps at most ``limit``
     records; idle and old flows expire. ``slots`` is the number of requests that the upstream runs
-    at once, 0 until it is known.
+    at once, 0 until it is known. ``started_at`` is when the process began to receive packets.
     """
 
     def __init__(
-        self, *, limit: int, idle_s: float, max_age_s: float, outlier_detector: OutlierDetector
+        self,
+        *,
+        limit: int,
+        idle_s: float,
+        max_age_s: float,
+        outlier_detector: OutlierDetector,
+        started_at: float = 0.0,
     ) -> None:
         self._limit = limit
         self._outlier_detector = outlier_detector
@@ -79,6 +91,10 @@
         self._arriving: set[FlowKey] = set()
         self._open = 0
         self.answer_seconds: list[float] = []
+        self._gap_at = started_at
+        self._may_hold_by_untracked: ExpiringMap[FlowKey, bool] = ExpiringMap(
+            ttl_s=UNTRACKED_TTL_S, limit=limit
+        )
 
     def __len__(self) -> int:
         return len(self._by_flow)
@@ -110,6 +126,22 @@
         """Return the record of ``flow``, or None if it isn't tracked."""
         return self._by_flow.get(flow)
 
+    def note_gap(self, now: float) -> None:
+        """Note that packets may have been missed until now, as before the process has started."""
+        self._gap_at = now
+
+    def is_absent(self, flow: FlowKey, now: float) -> bool:
+        """Return whether the upstream can't hold ``flow``.
+
+        Each open flow has a packet within the idle time-out, so after that time all are tracked.
+        """
+        if flow in self._by_flow or len(self._by_flow) >= self._limit:
+            return False
+        may_hold = self._may_hold_by_untracked.get(flow, now)
+        if may_hold is not None:
+            return not may_hold
+        return now - self._gap_at > self.idle_s + COMPLETE_MARGIN_S
+
     def track_opening(self, flow: FlowKey, now: float) -> None:
         """Track an opening packet passed to the upstream; the flow counts as busy from then on."""
         if flow not in self._by_flow and len(self._by_flow) < self._limit:
@@ -147,6 +179,7 @@
                 sequence_distance(record.upstream_sequence, packet.acknowledged) > OPEN_WINDOW_BYTES
             ):
                 self.forget(packet.flow)
+                self._may_hold_by_untracked.put(packet.flow, True, now)
                 return False
             record.state = FlowState.OPEN
             record.request.on_opened(now)
@@ -234,6 +267,11 @@
         self._busy.discard(flow)
         self._arriving.discard(flow)
 
+    def forget_returned(self, flow: FlowKey, now: float) -> None:
+        """Drop the record of a flow of which the upstream has returned a packet."""
+        self.forget(flow)
+        self._may_hold_by_untracked.put(flow, False, now)
+
     def settle(self, now: float) -> None:
         """Apply what pauses show: requests that are complete, and first ones that never came."""
         usual_s = self._outlier_detector.baseline_s
@@ -245,6 +283,7 @@
     def expire(self, now: float) -> None:
         """Drop expired flows."""
         self.settle(now)
+        self._may_hold_by_untracked.expire(now)
         for flow, record in list(self._by_flow.items()):
             inactive_s = now - record.last_seen
             if record.state is FlowState.OPEN:
@@ -253,8 +292,10 @@
                     or now - record.opened_at > self._max_age_s + self.idle_s
                 ):
                     self.forget(flow)
+                    self._may_hold_by_untracked.put(flow, True, now)
             elif record.state is FlowState.CLOSED:
                 if inactive_s > CLOSED_S:
                     self.forget(flow)
             elif inactive_s > HALF_OPEN_S:
                 self.forget(flow)
+                self._may_hold_by_untracked.put(flow, True, now)
--- a/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
+++ b/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
@@ -25,6 +25,25 @@
     RECORDS = 4
     PROBE = 5
     """Requests a load report from an agent."""
+    RECORDS_REQUEST = 7
+    """An agent without records has started; the receiver sends it those that it should have."""
+    FLOW_QUERY = 8
+    """Asks an agent whether it holds a flow."""
+    FLOW_ANSWER = 9
+
+
+class FlowPresence(IntEnum):
+    """What an agent knows of a flow."""
+
+    ABSENT = 0
+    """Its upstream doesn't hold the flow."""
+    OPEN = 1
+    CLOSED = 2
+    """The flow has ended at its upstream, which still answers retransmissions."""
+    RECORDED = 3
+    """Another agent has announced the flow."""
+    UNCERTAIN = 4
+    """The agent has started lately: its upstream may hold flows that it hasn't seen."""
 
 
 class SearchStage(IntEnum):
@@ -42,6 +61,9 @@
     """The agent is a directory node of the flow."""
     OTHER_SERVICES = 5
     """Next among the agents of other services, after all of the service; records aren't used."""
+    CANDIDATES = 6
+    """Next among the agents that don't know whether they hold the flow. ``tried`` lists those that
+    follow, and at its end ``NO_AGENT`` if others didn't answer, so that the flow isn't reset."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -88,11 +110,25 @@
     flows: tuple[FlowKey, ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FlowAnswer:
+    """States what an agent knows of ``flow``; ``agent`` is where it is open, if that is known."""
+
+    flow: FlowKey
+    presence: FlowPresence
+    agent: str
+
+
 _ENVELOPE = struct.Struct("!BBBI4sB")
 _ADDRESS_BYTES = 4
 MAX_TRIED = 8
 """Limit of the addresses in ``tried``; an opening packet is forwarded fewer times than this."""
+MAX_CANDIDATES = 32
+"""Limit of the agents that get a packet in stage CANDIDATES, one after the other: their addresses
+fit into a datagram beside a full packet."""
+NO_AGENT = "0.0.0.0"
 _LOAD = struct.Struct("!BHIHBH")
+_ANSWER = struct.Struct("!BB4s12s")
 _AVAILABLE = 1
 _FAILING = 2
 
@@ -115,7 +151,8 @@
     try:
         _, stage, hops, tag, entry, tried = _ENVELOPE.unpack_from(datagram)
         raw_at = _ENVELOPE.size + tried * _ADDRESS_BYTES
-        if tried > MAX_TRIED or raw_at > len(datagram):
+        limit = MAX_CANDIDATES if stage == SearchStage.CANDIDATES else MAX_TRIED
+        if tried > limit or raw_at > len(datagram):
             raise ValueError(f"{tried} agents tried")
         return Envelope(
             stage=SearchStage(stage),
@@ -177,3 +214,33 @@
             for start in range(0, len(keys), FLOW_KEY_BYTES)
         ),
     )
+
+
+def encode_flow_query(flow: FlowKey) -> bytes:
+    """Return a datagram of kind FLOW_QUERY."""
+    return bytes((DatagramKind.FLOW_QUERY,)) + flow
+
+
+def decode_flow_query(datagram: bytes) -> FlowKey:
+    """Decode a datagram of kind FLOW_QUERY; bytes after the flow are ignored."""
+    if len(datagram) <= FLOW_KEY_BYTES:
+        raise MalformedPeerDatagramError(reason="length", size=len(datagram))
+    return FlowKey(datagram[1 : 1 + FLOW_KEY_BYTES])
+
+
+def encode_flow_answer(answer: FlowAnswer) -> bytes:
+    """Return a datagram of kind FLOW_ANSWER."""
+    return _ANSWER.pack(
+        DatagramKind.FLOW_ANSWER, answer.presence, pack_ipv4(answer.agent), answer.flow
+    )
+
+
+def decode_flow_answer(datagram: bytes) -> FlowAnswer:
+    """Decode a datagram of kind FLOW_ANSWER; bytes after the flow are ignored."""
+    try:
+        _, presence, agent, flow = _ANSWER.unpack_from(datagram)
+        return FlowAnswer(
+            flow=FlowKey(flow), presence=FlowPresence(presence), agent=unpack_ipv4(agent)
+        )
+    except (struct.error, ValueError) as error:
+        raise MalformedPeerDatagramError(reason=str(error), size=len(datagram)) from error
--- a/libs/flows/src/laburnumbridge/flows/search_order.py
+++ b/libs/flows/src/laburnumbridge/flows/search_order.py
@@ -9,9 +9,15 @@
 from laburnumbridge.flows.peer_datagrams import SearchStage
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from laburnumbridge.flows.agent_ranking import AgentRanking
     from laburnumbridge.flows.flow_packet import FlowKey
 
+SEARCH_STARTS = 4
+"""Agents at which searches begin in turn: the directory nodes may all be restarting, and any other
+agent can ask for the flow as well."""
+
 _WALK_AFTER = {
     SearchStage.DIRECT: SearchStage.RANKED,
     SearchStage.DIRECTORY: SearchStage.RANKED,
@@ -43,10 +49,25 @@
         self._agents = agents
         self._service_agents = service_agents
 
-    def first_step(self, flow: FlowKey) -> SearchStep | None:
-        """Return the first step of a search, or None without agents."""
-        agent = self._agents.first(flow)
-        return None if agent is None else SearchStep(agent=agent, stage=SearchStage.DIRECTORY)
+    def first_step(
+        self,
+        flow: FlowKey,
+        *,
+        attempt: int = 0,
+        is_responsive: Callable[[str], bool] = lambda _agent: True,
+    ) -> SearchStep | None:
+        """Return the first step of a search, or None without agents.
+
+        ``attempt`` counts the searches before that weren't answered. Unresponsive agents are
+        skipped while another one of the ``SEARCH_STARTS`` first agents is responsive.
+        """
+        nodes = self._agents.directory_nodes(flow, SEARCH_STARTS)
+        if not nodes:
+            return None
+        start = attempt % len(nodes)
+        in_turn = [*nodes[start:], *nodes[:start]]
+        agent = next((node for node in in_turn if is_responsive(node)), in_turn[0])
+        return SearchStep(agent=agent, stage=SearchStage.DIRECTORY)
 
     def next_step(self, flow: FlowKey, *, agent: str, stage: SearchStage) -> SearchStep | None:
         """Return the step after ``agent``, which got the packet in ``stage`` and hasn't the flow.
