Find open flows while agents and balancers restart

Cause: a directory node that restarts has no records for up to 5 s; the packet then walks along the upstreams of others and is lost at the first agent that is stopped, and the client's next packet takes the same way. A process that has just started took a heartbeat for the confirmation of a view that was still empty, and reset flows. Change: an agent requests its records after its start, both those that it keeps and those that name itself. An agent without a record asks the other agents and forwards the packet only to the one that holds the flow; if none knows it, the packet visits those that have started too lately to tell. A balancer starts an unanswered search at another agent. No reset is sent before the view has upstreams, and the repetitions of a search are bounded.

--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -16,14 +16,19 @@
 from laburnumbridge.flows import MalformedPacketError
 from laburnumbridge.flows import MalformedPeerDatagramError
 from laburnumbridge.flows import OutlierDetector
+from laburnumbridge.flows import RecordRecovery
 from laburnumbridge.flows import UpstreamSelector
 from laburnumbridge.flows.peer_datagrams import FLOWS_PER_DATAGRAM
 from laburnumbridge.flows.peer_datagrams import DatagramKind
 from laburnumbridge.flows.peer_datagrams import Envelope
+from laburnumbridge.flows.peer_datagrams import FlowAnswer
 from laburnumbridge.flows.peer_datagrams import FlowLocationUpdate
+from laburnumbridge.flows.peer_datagrams import FlowPresence
 from laburnumbridge.flows.peer_datagrams import LoadReport
 from laburnumbridge.flows.peer_datagrams import SearchStage
 from laburnumbridge.flows.peer_datagrams import decode_envelope
+from laburnumbridge.flows.peer_datagrams import decode_flow_answer
+from laburnumbridge.flows.peer_datagrams import decode_flow_query
 from laburnumbridge.flows.peer_datagrams import decode_load
 from laburnumbridge.flows.peer_datagrams import decode_locations
 from laburnumbridge.flows.peer_datagrams import encode_envelope
@@ -31,7 +36,9 @@
 from laburnumbridge.flows.peer_datagrams import encode_locations
 from laburnumbridge.forwarding.admission_control import AdmissionControl
 from laburnumbridge.forwarding.endpoints import parse_endpoint
+from laburnumbridge.forwarding.flow_inquiries import FlowInquiries
 from laburnumbridge.forwarding.flow_search import FlowSearch
+from laburnumbridge.forwarding.forwarding_process import PAUSE_THRESHOLD_S
 from laburnumbridge.forwarding.forwarding_process import STOP_MARGIN_S
 from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
 from laburnumbridge.forwarding.forwarding_process import flow_text
@@ -59,6 +66,7 @@
 RECORD_STAGES = frozenset(SearchStage) - {
     SearchStage.RANKED_NO_RECORDS,
     SearchStage.OTHER_SERVICES,
+    SearchStage.CANDIDATES,
 }
 """Stages of a search in which records are followed."""
 DEFAULT_SLOTS = 16
@@ -95,7 +103,10 @@
             idle_s=DEFAULT_IDLE_S,
             max_age_s=self.settings.flow_max_age_s,
             outlier_detector=self._outlier_detector,
+            started_at=self.loop.now(),
         )
+        self._expired_at = self.loop.now()
+        self._record_recovery = RecordRecovery()
         self._locations = FlowLocations(agent=self.settings.address)
         self._entry_address_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
             ttl_s=ENTRY_ADDRESS_TTL_S, limit=FLOWS_LIMIT
@@ -103,8 +114,12 @@
         self._selector = UpstreamSelector(seed=hash64(self.settings.process.encode()))
         self._delivered_by_echo: dict[int, tuple[FlowKey, Envelope]] = {}
         self._next_echo = 1
+        self._inquiries = FlowInquiries(process=self, presence=self._presence)
         self._search = FlowSearch(
-            process=self, forward=self._forward, reset=partial(self._reset, reason="not_found")
+            process=self,
+            inquiries=self._inquiries,
+            forward=self._forward,
+            reset=partial(self._reset, reason="not_found"),
         )
         self._reporter = LoadReporter(port=self.peers, peer_port=self.settings.peer_port)
         self._was_listed = False
@@ -154,12 +169,17 @@
         ):
             return
         self._send_load()
+        self._locations.announce_all()
+        self._send_records(self.loop.now())
         self._upstream.probe()
 
     def on_view_change(self, update: CatalogUpdate) -> None:
         """Update the idle time-out and the slots, and drop the load of removed agents."""
-        if self.directory.idle_timeout_s is not None:
-            self._flows.idle_s = self.directory.idle_timeout_s
+        idle_s = self.directory.idle_timeout_s
+        if idle_s is not None and idle_s != self._flows.idle_s:
+            # Flows that were dropped after the shorter time may be open still.
+            self._flows.note_gap(self.loop.now())
+            self._flows.idle_s = idle_s
         entry = self._own_entry
         if entry is not None:
             self._was_listed = True
@@ -212,12 +232,21 @@
                 self._on_envelope(decode_envelope(datagram), sender, now)
             elif kind == DatagramKind.LOAD:
                 self._selector.on_load_report(sender[0], decode_load(datagram), now)
+                self._inquiries.on_load_report(sender[0], now)
             elif kind == DatagramKind.PROBE:
                 self.peers.send(encode_load(self._load_report), sender)
             elif kind == DatagramKind.RECORDS:
                 located = decode_locations(datagram)
+                self._record_recovery.on_reply(sender[0])
                 for flow in located.flows:
                     self._locations.put(flow, located.agent_address, now)
+            elif kind == DatagramKind.RECORDS_REQUEST:
+                self._inquiries.note_answering(sender[0], now)
+                self._send_recovered_records(sender[0], now)
+            elif kind == DatagramKind.FLOW_QUERY:
+                self._inquiries.answer(decode_flow_query(datagram), sender, now)
+            elif kind == DatagramKind.FLOW_ANSWER:
+                self._inquiries.on_answer(sender[0], decode_flow_answer(datagram), now)
             else:
                 raise MalformedPeerDatagramError(reason=f"kind {kind}", size=len(datagram))
         except MalformedPeerDatagramError as error:
@@ -257,13 +286,39 @@
             if agent is not None and is_other and agent in self.directory.listed_agents:
                 self._forward(envelope, agent, SearchStage.RECORDED)
                 return
-        if self._upstream.is_down or envelope.stage is SearchStage.DIRECTORY:
+        if not self._may_be_open_here(packet.flow, envelope, now):
             self._search.forward(packet, envelope, now)
             return
         # The upstream may hold a flow that was opened before this process started.
         self._entry_address_by_flow.put(packet.flow, envelope.entry_address, now)
         self._deliver(packet, envelope)
 
+    def _may_be_open_here(self, flow: FlowKey, envelope: Envelope, now: float) -> bool:
+        """Return whether to try the upstream with a packet whose flow isn't tracked."""
+        if self._upstream.is_down:
+            return False
+        if self._locations.find(flow, now) == self.settings.address:
+            return True
+        is_directory = envelope.stage is SearchStage.DIRECTORY
+        return not is_directory and not self._flows.is_absent(flow, now)
+
+    def _presence(self, flow: FlowKey, now: float) -> FlowAnswer:
+        """Return what this agent knows of a flow."""
+        agent = self.settings.address
+        presence = FlowPresence.UNCERTAIN
+        record = self._flows.get(flow)
+        located = self._locations.find(flow, now)
+        if record is not None:
+            is_closed = record.state is FlowState.CLOSED
+            presence = FlowPresence.CLOSED if is_closed else FlowPresence.OPEN
+        elif located == agent and not self._upstream.is_down:
+            presence = FlowPresence.OPEN
+        elif located not in (None, agent):
+            agent, presence = located or agent, FlowPresence.RECORDED
+        elif self._upstream.is_down or self._flows.is_absent(flow, now):
+            presence = FlowPresence.ABSENT
+        return FlowAnswer(flow=flow, presence=presence, agent=agent)
+
     def _forward(self, envelope: Envelope, agent: str, stage: SearchStage) -> None:
         forwarded = replace(envelope, hops=min(envelope.hops + 1, 255), stage=stage)
         self.peers.send(encode_envelope(forwarded), (agent, self.settings.peer_port))
@@ -302,6 +357,9 @@
             entry_address = self._entry_address_by_flow.get(packet.flow, now)
             if entry_address is not None:
                 self._report_location(packet.flow, entry_address)
+            ranking = self.directory.agent_ranking
+            for node in self._locations.announce(packet.flow, ranking, now):
+                self._send_records_to(node, self.settings.address, [packet.flow])
         self._outputs.send(datagram, self.client_endpoint(packet.flow))
         self._admission.admit_held(now)
 
@@ -309,11 +367,12 @@
         flow, delivered = self._delivered_by_echo.get(packet.echo, (None, None))
         record = self._flows.get(packet.flow)
         was_open_here = record is not None and record.state is FlowState.OPEN
-        self._flows.forget(packet.flow)
+        self._flows.forget_returned(packet.flow, now)
         if delivered is None or flow != packet.flow:
             # The upstream returned it so late that its number belongs to a later delivery.
             self.drop("unknown_echo", flow=flow_text(packet.flow))
             return
+        self._locations.forget(packet.flow)
         raw = self.packet_codec.with_echo(packet.raw, 0)
         envelope = replace(delivered, raw=raw)
         packet = self.packet_codec.decode_from_client(raw)
@@ -335,6 +394,7 @@
 
     def _upkeep(self) -> None:
         now = self.loop.now()
+        self._request_records(now)
         self._admission.upkeep(now)
         for envelope in self._upstream.take_unanswered(now):
             packet = self.packet_codec.decode_from_client(envelope.raw)
@@ -374,7 +434,13 @@
 
     def _expire(self) -> None:
         now = self.loop.now()
+        if now - self._expired_at > PAUSE_THRESHOLD_S + EXPIRY_INTERVAL_S:
+            # Packets that arrived while the process was paused may be lost.
+            self._flows.note_gap(now)
+        self._expired_at = now
         self._flows.expire(now)
+        self._inquiries.expire(now)
+        self._search.expire(now)
         self._locations.expire(now)
         self._admission.expire(now)
         self._entry_address_by_flow.expire(now)
@@ -394,19 +460,45 @@
         """
         if self.directory.agents_changed_at > now - 2 * EXPIRY_INTERVAL_S:
             self._locations.announce_all()
+        self._send_due_records(now)
+
+    def _send_due_records(self, now: float) -> None:
         flows_by_node = self._locations.due_announcements(
             self._flows.opened_at_by_flow(), self.directory.agent_ranking, now
         )
         for node, flows in flows_by_node.items():
-            for start in range(0, len(flows), FLOWS_PER_DATAGRAM):
-                located = FlowLocationUpdate(
-                    agent_address=self.settings.address,
-                    flows=tuple(flows[start : start + FLOWS_PER_DATAGRAM]),
-                )
-                self.peers.send(
-                    encode_locations(DatagramKind.RECORDS, located),
-                    (node, self.settings.peer_port),
-                )
+            self._send_records_to(node, self.settings.address, flows)
+
+    def _send_records_to(self, node: str, holder: str, flows: list[FlowKey]) -> None:
+        for start in range(0, len(flows), FLOWS_PER_DATAGRAM):
+            located = FlowLocationUpdate(
+                agent_address=holder, flows=tuple(flows[start : start + FLOWS_PER_DATAGRAM])
+            )
+            self.peers.send(
+                encode_locations(DatagramKind.RECORDS, located), (node, self.settings.peer_port)
+            )
+
+    def _request_records(self, now: float) -> None:
+        """After the start, request the records that this agent should have."""
+        if self._record_recovery.is_complete:
+            return
+        self._send_due_records(now)
+        agents = self.directory.agent_ranking.agents
+        others = [agent for agent in agents if agent != self.settings.address]
+        for agent in self._record_recovery.due(others, now):
+            request = bytes((DatagramKind.RECORDS_REQUEST,))
+            self.peers.send(request, (agent, self.settings.peer_port))
+
+    def _send_recovered_records(self, agent: str, now: float) -> None:
+        """Answer an agent's request for records; an empty datagram says that there are none."""
+        records = self._locations.records_for(agent, now)
+        for holder, flows in records.items():
+            self._send_records_to(agent, holder, flows)
+        if not any(records.values()):
+            none = FlowLocationUpdate(agent_address=self.settings.address, flows=())
+            self.peers.send(
+                encode_locations(DatagramKind.RECORDS, none), (agent, self.settings.peer_port)
+            )
 
     @property
     def _load_report(self) -> LoadReport:
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -42,6 +42,11 @@
 AVOID_S = 1.0
 """An agent that left an opening packet unanswered gets no new flow for this long, while another one
 can take it."""
+SEARCH_ATTEMPT_S = 0.1
+"""Packets of a flow sent within this time belong to one attempt; the client's first retransmission
+comes after 0.2 s."""
+SEARCH_ATTEMPTS_TTL_S = 2.0
+SEARCHES_LIMIT = 8_192
 EARLY_MAX_WAIT_S = 1.0
 """A packet waits this long at most for the first view, which a process has 0.4 s after its start,
 also when all processes start at once."""
@@ -77,6 +82,9 @@
         self._agent_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
             ttl_s=LOCATION_TTL_S, limit=FLOWS_LIMIT
         )
+        self._search_by_flow: ExpiringMap[FlowKey, tuple[int, float]] = ExpiringMap(
+            ttl_s=SEARCH_ATTEMPTS_TTL_S, limit=SEARCHES_LIMIT
+        )
         self._early_packets: PacketBuffer[FlowPacket] = PacketBuffer(
             max_wait_s=EARLY_MAX_WAIT_S, limit=EARLY_PACKETS_LIMIT
         )
@@ -131,6 +139,7 @@
     def record_location(self, flow: FlowKey, agent: str) -> None:
         """Record that ``flow`` is open at ``agent``."""
         self._agent_by_flow.put(flow, agent, self.loop.now())
+        self._search_by_flow.pop(flow)
 
     def _on_client_datagram(self, datagram: bytes, sender: Endpoint) -> None:
         now = self.loop.now()
@@ -204,7 +213,11 @@
             self._send(packet, agent, tag, SearchStage.DIRECT, now)
             return
         # No location, or an agent that is no longer listed and is unresponsive.
-        step = self.directory.search_order(tag).first_step(packet.flow)
+        step = self.directory.search_order(tag).first_step(
+            packet.flow,
+            attempt=self._search_attempt(packet.flow, now),
+            is_responsive=lambda agent: self._selector.is_responsive(agent, now),
+        )
         if step is None:
             self.drop("no_agent", flow=flow_text(packet.flow), route=route.name)
             return
@@ -214,6 +227,14 @@
         )
         self._send(packet, step.agent, tag, step.stage, now)
 
+    def _search_attempt(self, flow: FlowKey, now: float) -> int:
+        """Return how many searches for the flow were left unanswered."""
+        attempt, began_at = self._search_by_flow.get(flow, now) or (-1, 0.0)
+        if attempt < 0 or now - began_at > SEARCH_ATTEMPT_S:
+            attempt += 1
+            self._search_by_flow.put(flow, (attempt, now), now)
+        return attempt
+
     def _refuse_unrouted(self, packet: FlowPacket, now: float) -> None:
         has_location = self._agent_by_flow.get(packet.flow, now) is not None
         if packet.is_opening or has_location:
@@ -269,6 +290,7 @@
         for packet in self._early_packets.expire(now):
             self._dispatch(packet, now)
         self._agent_by_flow.expire(now)
+        self._search_by_flow.expire(now)
         self.metrics.gauge("flows_known", len(self._agent_by_flow))
         if self.is_stopping:
             self._finish_when_idle(now)
