Refuse a copy of an opening only if no other copy is open

Cause: an agent that refused a copy of an opening packet reset the flow, though another copy had opened it at another upstream. Change: before it refuses a copy, or a packet that it held, an agent asks the agents that had the packet before, the one that it was handed over to, and the flow's directory nodes. It sends no reset if one of them holds the flow. First packets that are refused at once are refused without a question, and so are those held by an agent that stops, which can't wait for answers. The tests of libs/forwarding pass.

--- a/libs/flows/src/laburnumbridge/flows/flow_inquiry.py
+++ b/libs/flows/src/laburnumbridge/flows/flow_inquiry.py
@@ -35,11 +35,13 @@
 class InquiryResult:
     """The end of an inquiry.
 
-    ``holder`` is the agent where the flow is open, or None. ``uncertain`` are the agents that can't
-    tell, ``silent`` those that didn't answer, and ``unaware`` those that don't know queries.
+    ``holder`` is the agent that has the flow, or None; ``is_open`` is False if the flow has ended
+    there. ``uncertain`` are the agents that can't tell, ``silent`` those that didn't answer, and
+    ``unaware`` those that don't know queries.
     """
 
     holder: str | None = None
+    is_open: bool = False
     uncertain: tuple[str, ...] = ()
     silent: tuple[str, ...] = ()
     unaware: tuple[str, ...] = ()
@@ -104,13 +106,13 @@
     def step(self, now: float) -> Ask | InquiryResult | None:
         """Return what to do now, or None to wait."""
         if self._holder is not None:
-            return InquiryResult(holder=self._holder)
+            return InquiryResult(holder=self._holder, is_open=True)
         if self._named is not None and self._named not in self._asked:
             if self._named in self._waiting:
                 self._waiting.remove(self._named)
             return self._ask([self._named], now)
         if self._named in self._unaware:
-            return InquiryResult(holder=self._named)
+            return InquiryResult(holder=self._named, is_open=True)
         if now < self.next_at and self._asked - self._presence_by_agent.keys() - self._unaware:
             return None
         if self._waiting and self._named is None:
@@ -125,6 +127,7 @@
             return self._repeat(missing, now)
         return InquiryResult(
             holder=self._named or self._closed_at,
+            is_open=self._named is not None,
             uncertain=self._answered_uncertain(),
             silent=silent,
             unaware=tuple(agent for agent in self._agents if agent in self._unaware),
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -44,6 +44,7 @@
 from laburnumbridge.forwarding.forwarding_process import flow_text
 from laburnumbridge.forwarding.load_reporter import REPORT_INTERVAL_S
 from laburnumbridge.forwarding.load_reporter import LoadReporter
+from laburnumbridge.forwarding.refusal_check import RefusalCheck
 from laburnumbridge.forwarding.upstream_watch import UpstreamWatch
 
 if TYPE_CHECKING:
@@ -141,7 +142,10 @@
             is_available=lambda: self._is_available,
             admit=self._admit,
             forward=self._forward,
-            reset=self._reset,
+            reset=self._refuse_opening,
+        )
+        self._refusal_check = RefusalCheck(
+            process=self, inquiries=self._inquiries, reset=self._reset
         )
 
     def start(self) -> None:
@@ -258,6 +262,7 @@
         packet = self.packet_codec.decode_from_client(envelope.raw)
         self._reporter.on_packet(sender[0], now)
         if packet.is_opening:
+            self._refusal_check.on_opening(packet, envelope.tried, now)
             self._admission.on_opening(packet, envelope, now)
         else:
             self._on_flow_packet(packet, envelope, now)
@@ -386,6 +391,11 @@
         else:
             self._search.forward(packet, envelope, now)
 
+    def _refuse_opening(self, flow: FlowKey, acknowledged: int, reason: str) -> None:
+        now = self.loop.now()
+        agent = self._admission.handover_agent(flow, now)
+        self._refusal_check.refuse(flow, acknowledged, reason, handover_agent=agent, now=now)
+
     def _reset(self, flow: FlowKey, acknowledged: int, reason: str) -> None:
         reset = self.reset_flow(flow, acknowledged=acknowledged, reason=reason)
         self._outputs.send(reset, self.client_endpoint(flow))
@@ -441,6 +451,7 @@
         self._flows.expire(now)
         self._inquiries.expire(now)
         self._search.expire(now)
+        self._refusal_check.expire(now)
         self._locations.expire(now)
         self._admission.expire(now)
         self._entry_address_by_flow.expire(now)
