Get the first view once and from one peer at a time

Cause: after a start of all processes each seed sends the whole view to every process connected to it, each process sends it on to its other seed, and a seed that isn't listening yet is tried again only after 0.2 s. Seeds on slow links need a second for this. An agent that has heard only a heartbeat took it for a confirmation of its own view, which was still empty, and reset flows.

Change: a process without a view is told by a heartbeat that there is one, and asks one peer for it by lacks_configuration; after 0.5 s it asks another. Peers of the previous version get and send the view as before. The configuration isn't sent to a peer that has it. After a start of the whole fleet agents ask spread over 0.2 s. A seed that refuses is tried again after 0.05 s, and after other seeds if it has refused for 0.4 s. An agent without a view ends no search. The simulated network limits the rate of a VM's streams.

--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_search.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_search.py
@@ -73,7 +73,9 @@
         1.6 s.
         """
         age_s = self._process.view.catalog.confirmed_age_s(now)
-        is_settled = now - self._process.directory.agents_added_at > SETTLE_S
+        # A peer's heartbeat confirms a view that this process may not have received yet.
+        has_view = self._process.view.catalog.is_ready
+        is_settled = has_view and now - self._process.directory.agents_added_at > SETTLE_S
         flow = flow_text(packet.flow)
         if packet.is_reset:
             self._process.drop("flow_over", flow=flow, hops=envelope.hops)
--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -11,8 +11,10 @@
 from laburnumbridge.catalog import MalformedUpdateError
 from laburnumbridge.catalog import UpdateDecoder
 from laburnumbridge.catalog import encode_update
+from laburnumbridge.catalog.reader_election import START_WAIT_S
 from laburnumbridge.catalog.reader_election import ReaderElection
 from laburnumbridge.core import Event
+from laburnumbridge.core import hash64
 from laburnumbridge.core import rendezvous_rank
 from laburnumbridge.forwarding.endpoints import parse_endpoint
 from laburnumbridge.forwarding.store_reader import StoreReader
@@ -29,6 +31,7 @@
     from laburnumbridge.forwarding.network import ByteStream
     from laburnumbridge.forwarding.network import Loop
     from laburnumbridge.forwarding.network import Network
+    from laburnumbridge.forwarding.network import StreamEnd
     from laburnumbridge.forwarding.network import StreamListener
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -40,11 +43,18 @@
 CONNECT_TIMEOUT_S = 0.4
 """An attempt to connect is given up after this. A connection takes 4 ms; a VM without power never
 answers, and one that starts answers soon."""
+REFUSED_RETRY_INTERVAL_S = 0.05
+"""Least time between attempts to a seed whose VM runs while its process doesn't listen yet."""
 RETRY_INTERVAL_S = 0.2
 """Least time between attempts to connect to a seed. After a loss of power all processes start at
 once, and the first seed that is up serves them."""
 SNAPSHOT_INTERVAL_S = 0.5
 """A peer that lags gets a snapshot once in this time at most; with 1,300 routes it has 100 KB."""
+FIRST_VIEW_TIMEOUT_S = 0.5
+"""A process without a view asks one peer at a time for it, and another one after this time."""
+FIRST_VIEW_SPREAD_S = 0.2
+"""After a start of the whole fleet, which a seed without a view shows, processes that work without
+one ask for it spread over this time: seeds on slow links serve balancers first in this way."""
 UPKEEP_INTERVAL_S = 0.05
 
 
@@ -58,9 +68,12 @@
         self.is_connected = not is_outgoing
         self.has_received_update = False
         self.accepts_compressed = False
+        self.configuration_version = 0
         self.last_active_at = now
         self.last_snapshot_at = -SNAPSHOT_INTERVAL_S
         self.last_requested_at = -SNAPSHOT_INTERVAL_S
+        self.asked_for_view_at = -FIRST_VIEW_TIMEOUT_S
+        self.has_view = False
         self.updates = UpdateDecoder()
 
 
@@ -92,6 +105,7 @@
         self._on_change = on_change
         self._links: set[_PeerLink] = set()
         self._retry_at_by_seed: dict[str, float] = {}
+        self._refused_since_by_seed: dict[str, float] = {}
         self._election = ReaderElection(
             process=settings.process, needs_view=settings.upstream is None, now=loop.now()
         )
@@ -106,6 +120,10 @@
             metrics=metrics,
             on_update=lambda update: self._propagate(update, None),
         )
+        spread = hash64(settings.process.encode()) / (1 << 64)
+        self._first_view_wait_s = 0.0 if settings.upstream is None else spread * FIRST_VIEW_SPREAD_S
+        self._view_offered_at: float | None = None
+        self._has_peer_without_view = False
         self._logged_revision = NO_REVISION
         self._listener: StreamListener | None = None
         if settings.control_endpoint is not None:
@@ -152,6 +170,7 @@
         if applied.has_changes:
             self._propagate(applied, None)
         self._connect_seeds(now)
+        self._ask_for_first_view(now)
         should_read = self._election.should_read(is_seed=self._is_seed, now=now)
         if should_read != self._reader.is_running:
             event = Event.READING_STARTED if should_read else Event.READING_STOPPED
@@ -171,7 +190,8 @@
         other_seeds = [
             seed for seed in self._settings.seeds if seed != self._settings.control_endpoint
         ]
-        for seed in rendezvous_rank(self._settings.process.encode(), other_seeds):
+        ranked = rendezvous_rank(self._settings.process.encode(), other_seeds)
+        for seed in sorted(ranked, key=lambda seed: self._has_refused_for_long(seed, now)):
             if len(outgoing_seeds) >= SEED_CONNECTIONS:
                 return
             if seed in outgoing_seeds or self._retry_at_by_seed.get(seed, 0.0) > now:
@@ -179,6 +199,10 @@
             outgoing_seeds.add(seed)
             self._connect(seed, now)
 
+    def _has_refused_for_long(self, seed: str, now: float) -> bool:
+        """Return whether others are tried first, as the process there isn't only starting."""
+        return now - self._refused_since_by_seed.get(seed, now) > START_WAIT_S
+
     def _connect(self, seed: str, now: float) -> None:
         self._retry_at_by_seed[seed] = now + RETRY_INTERVAL_S
         stream = self._network.connect(parse_endpoint(seed))
@@ -189,10 +213,11 @@
     def _add(self, link: _PeerLink) -> None:
         self._links.add(link)
         link.stream.on_data = lambda data: self._on_data(link, data)
-        link.stream.on_end = lambda end: self._drop_link(link, end.reason)
+        link.stream.on_end = lambda end: self._on_end(link, end)
 
     def _on_connected(self, link: _PeerLink) -> None:
         link.is_connected = True
+        self._refused_since_by_seed.pop(link.endpoint, None)
         link.last_active_at = self._loop.now()
         self._log.write(Event.PEER_CONNECTED, peer=link.endpoint, revision=self.catalog.revision)
         # A heartbeat without changes reports the revision of this process to the peer.
@@ -202,6 +227,12 @@
         name = f"{endpoint[0]}:{endpoint[1]}"
         self._add(_PeerLink(stream=stream, endpoint=name, is_outgoing=False, now=self._loop.now()))
 
+    def _on_end(self, link: _PeerLink, end: StreamEnd) -> None:
+        if end.is_refused:
+            self._refused_since_by_seed.setdefault(link.endpoint, self._loop.now())
+            self._retry_at_by_seed[link.endpoint] = link.last_active_at + REFUSED_RETRY_INTERVAL_S
+        self._drop_link(link, end.reason)
+
     def _drop_link(self, link: _PeerLink, reason: str) -> None:
         if link not in self._links:
             return
@@ -223,6 +254,9 @@
     def _on_update(self, link: _PeerLink, update: CatalogUpdate) -> None:
         now = self._loop.now()
         link.accepts_compressed = update.accepts_compressed
+        link.configuration_version = max(link.configuration_version, update.configuration_version)
+        if update.configuration_version == 0:
+            self._has_peer_without_view = True
         if update.confirmed_age_ms is not None:
             self._election.on_confirmed(update.confirmed_by, update.confirmed_age_ms / 1000, now)
         is_behind = (
@@ -230,9 +264,13 @@
             or update.complete_revision < self.catalog.complete_revision
             or update.lacks_configuration
         )
-        if is_behind and now - link.last_snapshot_at > SNAPSHOT_INTERVAL_S:
+        if is_behind and self._asks_for_first_view(link) and not update.lacks_configuration:
+            # The peer has no view; it asks one of its peers, so that it gets the view only once.
+            self._send(link, self.catalog.heartbeat(now))
+        elif is_behind and now - link.last_snapshot_at > SNAPSHOT_INTERVAL_S:
             link.last_snapshot_at = now
             self._send(link, self._snapshot_for(update, now))
+            link.configuration_version = self.catalog.configuration_version
         elif not link.has_received_update and not link.is_outgoing:
             # The peer isn't behind; if it is ahead, it answers the heartbeat with its view.
             self._send(link, self.catalog.heartbeat(now))
@@ -240,7 +278,11 @@
         changes = self.catalog.merge(update, now)
         self._propagate(changes, link)
         self._send_kept_state(link, changes, update)
-        if changes.lacks_configuration:
+        if changes.lacks_configuration and self.catalog.configuration is None:
+            link.has_view = True
+            self._view_offered_at = self._view_offered_at or now
+            self._ask_for_first_view(now)
+        elif changes.lacks_configuration:
             self._send(link, replace(self.catalog.heartbeat(now), lacks_configuration=True))
         elif self.catalog.complete_revision < update.complete_revision:
             self._request_snapshot(link, now)
@@ -263,6 +305,25 @@
             heartbeat = self.catalog.heartbeat(self._loop.now())
             self._send(link, replace(heartbeat, entries=kept, removals=departed))
 
+    def _asks_for_first_view(self, link: _PeerLink) -> bool:
+        """Return whether the peer has no view and asks for it when it is told that there is one."""
+        has_view = self.catalog.configuration is not None
+        return has_view and link.accepts_compressed and link.configuration_version == 0
+
+    def _ask_for_first_view(self, now: float) -> None:
+        """Ask a peer that has a view, unless the answer of another one is under way."""
+        if self.catalog.configuration is not None or self._view_offered_at is None:
+            return
+        wait_s = self._first_view_wait_s if self._has_peer_without_view else 0.0
+        if now - self._view_offered_at < wait_s:
+            return
+        links = [link for link in self._links if link.has_view and link.is_connected]
+        if not links or now - max(link.asked_for_view_at for link in links) < FIRST_VIEW_TIMEOUT_S:
+            return
+        link = min(links, key=lambda one: (one.asked_for_view_at, one.endpoint))
+        link.asked_for_view_at = now
+        self._send(link, replace(self.catalog.heartbeat(now), lacks_configuration=True))
+
     def _request_snapshot(self, link: _PeerLink, now: float) -> None:
         """Tell a peer with a more complete view what this process has; it answers with its view."""
         if now - link.last_requested_at > SNAPSHOT_INTERVAL_S:
@@ -297,14 +358,24 @@
             configuration=update.configuration,
             configuration_change=update.configuration_change,
         )
-        data_by_compression: dict[bool, bytes] = {}
+        version = self.catalog.configuration_version
+        data_by_form: dict[tuple[bool, bool], bytes] = {}
         for link in list(self._links):
             if link is source or not link.is_connected:
                 continue
-            compress = link.accepts_compressed
-            if compress not in data_by_compression:
-                data_by_compression[compress] = encode_update(news, compress=compress)
-            link.stream.send(data_by_compression[compress])
+            if self._asks_for_first_view(link):
+                self._send(link, heartbeat)
+                continue
+            form = (link.accepts_compressed, link.configuration_version >= version)
+            if form not in data_by_form:
+                is_known = form[1]  # the peer has the configuration, perhaps from another process
+                configuration = None if is_known else update.configuration
+                data_by_form[form] = encode_update(
+                    replace(news, configuration=configuration), compress=link.accepts_compressed
+                )
+            link.stream.send(data_by_form[form])
+            if update.configuration is not None:
+                link.configuration_version = max(link.configuration_version, version)
 
     def _log_restore(self, source: str) -> None:
         """Log that the view has changed to a new era of the platform, except for the first one."""
--- a/libs/standins/src/laburnumbridge/standins/flows/simulation.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulation.py
@@ -4,6 +4,7 @@
 
 import heapq
 from collections import Counter
+from collections import deque
 from typing import TYPE_CHECKING
 
 from laburnumbridge.forwarding.network import ByteStream
@@ -21,6 +22,8 @@
 
 LATENCY_S = 0.0005
 LATENCY_WITHIN_VM_S = 0.00005
+CHUNK_BYTES = 4_096
+"""Streams take turns on a limited link with chunks of this size."""
 
 
 class Simulation:
@@ -28,7 +31,8 @@
 
     ``partition`` separates two addresses, the callback ``should_drop`` decides which datagrams are
     lost, and an address in ``isolated`` neither sends nor receives. ``stream_bytes_by_address``
-    counts the bytes that streams sent, by address of the sender.
+    counts the bytes that streams sent, by address of the sender. ``set_rate`` limits the link of a
+    VM for streams; datagrams aren't delayed by it.
     """
 
     def __init__(self) -> None:
@@ -41,6 +45,40 @@
         self._partitions: set[frozenset[str]] = set()
         self.ports: dict[Endpoint, SimulatedDatagramPort] = {}
         self.listeners: dict[Endpoint, SimulatedListener] = {}
+        self._links_by_address: dict[str, tuple[SimulatedLink, SimulatedLink]] = {}
+
+    def set_rate(self, address: str, bytes_per_s: float) -> None:
+        """Limit what the streams of ``address`` send and what they receive."""
+        self._links_by_address[address] = (
+            SimulatedLink(simulation=self, bytes_per_s=bytes_per_s),
+            SimulatedLink(simulation=self, bytes_per_s=bytes_per_s),
+        )
+
+    def is_limited(self, address: str) -> bool:
+        """Return whether ``set_rate`` was called for ``address``."""
+        return address in self._links_by_address
+
+    def carry(
+        self, source: str, target: str, *, stream: object, size: int, event: Callable[[], None]
+    ) -> None:
+        """Run ``event`` when ``size`` bytes of ``stream`` have passed both links."""
+
+        def arrive() -> None:
+            self._pass_link(target, 1, stream, size, event)
+
+        def depart() -> None:
+            self.schedule(self.latency_s(source, target), arrive)
+
+        self._pass_link(source, 0, stream, size, depart)
+
+    def _pass_link(
+        self, address: str, direction: int, stream: object, size: int, event: Callable[[], None]
+    ) -> None:
+        links = self._links_by_address.get(address)
+        if links is None:
+            event()
+        else:
+            links[direction].carry(stream, size, event)
 
     def schedule(self, delay_s: float, event: Callable[[], None]) -> None:
         """Run ``event`` after ``delay_s`` of simulated time."""
@@ -76,6 +114,38 @@
         return LATENCY_WITHIN_VM_S if first == second else LATENCY_S
 
 
+class SimulatedLink:
+    """One direction of a VM's link. Streams take turns, so each gets its share of the rate."""
+
+    def __init__(self, *, simulation: Simulation, bytes_per_s: float) -> None:
+        self._simulation = simulation
+        self._bytes_per_s = bytes_per_s
+        self._waiting_by_stream: dict[object, deque[tuple[int, Callable[[], None]]]] = {}
+        self._is_busy = False
+
+    def carry(self, stream: object, size: int, event: Callable[[], None]) -> None:
+        """Run ``event`` when ``size`` bytes have been sent."""
+        self._waiting_by_stream.setdefault(stream, deque()).append((size, event))
+        if not self._is_busy:
+            self._send_next()
+
+    def _send_next(self) -> None:
+        self._is_busy = bool(self._waiting_by_stream)
+        if not self._is_busy:
+            return
+        stream = next(iter(self._waiting_by_stream))
+        chunks = self._waiting_by_stream.pop(stream)
+        size, event = chunks.popleft()
+        if chunks:
+            self._waiting_by_stream[stream] = chunks
+
+        def complete() -> None:
+            event()
+            self._send_next()
+
+        self._simulation.schedule(size / self._bytes_per_s, complete)
+
+
 class SimulatedLoop(Loop):
     """The loop of one process.
 
@@ -197,8 +267,12 @@
             self._unsent.append(data)
             return
         peer = self.peer
-        self.loop.simulation.stream_bytes_by_address[self.loop.address] += len(data)
-        self._carry(lambda: peer.receive(data))
+        simulation = self.loop.simulation
+        simulation.stream_bytes_by_address[self.loop.address] += len(data)
+        addresses = (self.loop.address, self.remote_address)
+        size = CHUNK_BYTES if any(map(simulation.is_limited, addresses)) else max(len(data), 1)
+        for start in range(0, len(data), size):
+            self._carry_chunk(peer, data[start : start + size])
 
     def close(self) -> None:
         """Close this end; the other end receives the end of the stream unless it is unreachable."""
@@ -230,7 +304,10 @@
             self.send(data)
         self._unsent.clear()
 
-    def _carry(self, event: Callable[[], None]) -> None:
+    def _carry_chunk(self, peer: SimulatedStream, chunk: bytes) -> None:
+        self._carry(lambda: peer.receive(chunk), size=len(chunk))
+
+    def _carry(self, event: Callable[[], None], *, size: int = 0) -> None:
         simulation = self.loop.simulation
         peer = self.peer
         assert peer is not None
@@ -239,7 +316,7 @@
             if simulation.is_connected(self.loop.address, peer.loop.address):
                 peer.loop.deliver(event)
 
-        simulation.schedule(simulation.latency_s(self.loop.address, peer.loop.address), arrive)
+        simulation.carry(self.loop.address, peer.loop.address, stream=self, size=size, event=arrive)
 
 
 class SimulatedListener(StreamListener):
