--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -53,7 +53,8 @@
     """Sockets, view, readiness, settings and signals of one process.
 
     Build it with settings that were loaded from ``settings_path``, call ``start`` and then
-    ``run``, which returns when the stop that a signal begins is complete.
+    ``run``, which returns when the stop that a signal begins is complete. ``started_at`` is the
+    start of the process on the loop's clock; without it, that is now.
     """
 
     def __init__(
@@ -66,8 +67,11 @@
         loop: Loop,
         network: Network,
         log: DecisionLog,
+        started_at: float | None = None,
     ) -> None:
         self.loop = loop
+        self._started_at = loop.now() if started_at is None else started_at
+        self._had_first_view = False
         self.network = network
         self.settings = settings
         self._settings_path = settings_path
@@ -89,6 +93,7 @@
             log=self.log,
             metrics=self.metrics,
             on_change=self._on_view_change,
+            started_at=self._started_at,
         )
         self.directory = ServiceDirectory(catalog=self.view.catalog)
         self.peers = network.datagram_port(
@@ -119,7 +124,10 @@
         self._metrics_server.start()
         self.view.start()
         self.loop.on_error = self._on_internal_error
-        self.log.write(Event.PROCESS_STARTED, address=self.settings.address)
+        since_start_s = round(self.loop.now() - self._started_at, 3)
+        self.log.write(
+            Event.PROCESS_STARTED, address=self.settings.address, since_start_s=since_start_s
+        )
 
     def run(self) -> None:
         """Serve until the process has stopped."""
@@ -197,6 +205,9 @@
         for entry in self.directory.unconfigured(update):
             reason = f"service {entry.service!r} isn't configured"
             self.log.write(Event.ITEM_IGNORED, key=entry.name, reason=reason)
+        if not self._had_first_view and self.view.catalog.is_ready:
+            self._had_first_view = True
+            self.metrics.observe("first_view_seconds", self.loop.now() - self._started_at)
         self.on_view_change(update)
 
     def _serve_readiness(self, _path: str) -> tuple[int, bytes]:
--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -95,7 +95,9 @@
         log: DecisionLog,
         metrics: Metrics,
         on_change: Callable[[CatalogUpdate], None],
+        started_at: float,
     ) -> None:
+        self._started_at = started_at
         self.catalog = Catalog()
         self._loop = loop
         self._network = network
@@ -394,6 +396,7 @@
                 version=configuration.version,
                 routes=len(configuration.routes),
                 source=source,
+                since_start_s=round(self._loop.now() - self._started_at, 3),
             )
         for entry in update.entries:
             self._log.write(
--- a/libs/forwarding/tests/test_first_view.py
+++ b/libs/forwarding/tests/test_first_view.py
@@ -7,6 +7,9 @@
 
 from laburnumbridge.catalog.reader_election import START_WAIT_S
 from laburnumbridge.catalog.update_codec import COMPRESSED_FLAG
+from laburnumbridge.core import Event
+from laburnumbridge.forwarding.event_loop import EventLoop
+from laburnumbridge.forwarding.process_start import process_started_at
 from laburnumbridge.forwarding.view_sharing import FIRST_VIEW_TIMEOUT_S
 from laburnumbridge.forwarding.view_sharing import REFUSED_RETRY_INTERVAL_S
 from laburnumbridge.standins.flows.process_settings import CONTROL_PORT
@@ -117,6 +120,27 @@
         for address in fleet.agents:
             assert fleet.process_by_address[address].view.catalog.configuration_version == 2
 
+    def test_the_time_from_the_start_to_the_first_view_is_reported(self, fleet, seeds_with_view):
+        # Guards against a slow start that can't be told from a slow platform.
+        fleet.start_process(fleet.agents[0])
+        fleet.simulation.run_for(1.0)
+        log = fleet.log_by_address[fleet.agents[0]]
+        since_start_s = {event: fields.get("since_start_s") for event, fields in log.lines}
+        assert since_start_s[Event.PROCESS_STARTED] == 0.0
+        first_view_s = since_start_s[Event.LIST_IN_FORCE]
+        assert 0.0 < first_view_s < 1.0
+        metrics = fleet.process_by_address[fleet.agents[0]].metrics.render().decode()
+        assert "first_view_seconds_count 1\n" in metrics
+        assert f"first_view_seconds_sum {first_view_s:.3f}" in metrics
+
+    def test_the_start_of_this_process_is_on_the_clock_of_the_loop(self):
+        # Guards against times from another clock, which would be negative or far too long.
+        loop = EventLoop()
+        started_at = process_started_at()
+        assert started_at is not None
+        assert 0.0 < started_at < loop.now()
+        loop.close()
+
     def test_another_seed_is_asked_when_the_first_is_lost(self, fleet, seeds_with_view):
         # Guards against a process that waits for a seed that has lost power during the answer.
         first_asked = seeds_with_view[0]
