Learn the work of requests from the packets of an upstream

Cause: placement knows only counts of requests and flows, although the requests of routes, and the speeds of upstreams, differ by a factor of two and more.

Change: WorkEstimator learns the work by route, the slowdown of the upstream and the demand of the open flows. FlowTracker reports flows and requests to it through WorkObserver; nothing uses the result yet. FlowTracker.forget takes the time, since a forgotten flow frees its slot.

--- a/libs/flows/src/laburnumbridge/flows/__init__.py
+++ b/libs/flows/src/laburnumbridge/flows/__init__.py
@@ -21,6 +21,8 @@
 from laburnumbridge.flows.search_order import SearchStep
 from laburnumbridge.flows.upstream_selector import Candidate
 from laburnumbridge.flows.upstream_selector import UpstreamSelector
+from laburnumbridge.flows.work_estimator import WorkEstimator
+from laburnumbridge.flows.work_observer import WorkObserver
 
 __all__ = [
     "AgentRanking",
@@ -42,4 +44,6 @@
     "SearchStep",
     "TrackedFlow",
     "UpstreamSelector",
+    "WorkEstimator",
+    "WorkObserver",
 ]
--- a/libs/flows/src/laburnumbridge/flows/flow_tracker.py
+++ b/libs/flows/src/laburnumbridge/flows/flow_tracker.py
@@ -11,9 +11,12 @@
 from laburnumbridge.flows.request_tracker import RequestTracker
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from laburnumbridge.flows.flow_packet import FlowKey
     from laburnumbridge.flows.flow_packet import FlowPacket
     from laburnumbridge.flows.outlier_detector import OutlierDetector
+    from laburnumbridge.flows.work_observer import WorkObserver
 
 HALF_OPEN_S = 1.5
 """A client abandons an unanswered opening after 1.4 s."""
@@ -43,13 +46,14 @@
 
     ``upstream_sequence`` is the upstream's first sequence number, or None for a flow whose opening
     this process has not received. ``has_waited`` is set if all slots were taken when the current
-    request began to run.
+    request began to run. ``route`` is the name of the flow's route, or empty.
     """
 
     state: FlowState
     opened_at: float
     last_seen: float
     request: RequestTracker
+    route: str = ""
     upstream_sequence: int | None = None
     client_acknowledged: int = 0
     has_waited: bool = False
@@ -61,16 +65,27 @@
     """Tracks the flows of one upstream from the packets between it and its clients.
 
     Provides the open flows, the requests that the upstream is working on and those that are still
-    arriving, and reports answers and resets to ``outlier_detector``. Keeps at most ``limit``
-    records; idle and old flows expire. ``slots`` is the number of requests that the upstream runs
-    at once, 0 until it is known.
+    arriving, and reports answers and resets to ``outlier_detector``, and flows and requests to
+    ``work_observer`` by the name of their route, which ``route_name`` returns. Keeps at most
+    ``limit`` records; idle and old flows expire. ``slots`` is the number of requests that the
+    upstream runs at once, 0 until it is known.
     """
 
     def __init__(
-        self, *, limit: int, idle_s: float, max_age_s: float, outlier_detector: OutlierDetector
+        self,
+        *,
+        limit: int,
+        idle_s: float,
+        max_age_s: float,
+        outlier_detector: OutlierDetector,
+        work_observer: WorkObserver | None = None,
+        route_name: Callable[[FlowKey], str] | None = None,
     ) -> None:
         self._limit = limit
         self._outlier_detector = outlier_detector
+        self._work_observer = work_observer
+        self._route_name = route_name
+        self._running: set[FlowKey] = set()
         self.slots = 0
         self.idle_s = idle_s
         self._max_age_s = max_age_s
@@ -118,12 +133,29 @@
                 opened_at=now,
                 last_seen=now,
                 request=RequestTracker(now=now),
+                route=self._route_of(flow),
             )
             self._busy.add(flow)
 
-    def _count(self, flow: FlowKey, record: TrackedFlow) -> None:
+    def _route_of(self, flow: FlowKey) -> str:
+        return "" if self._route_name is None else self._route_name(flow)
+
+    def _set_open(self, record: TrackedFlow, now: float) -> None:
+        record.state = FlowState.OPEN
+        self._open += 1
+        if self._work_observer is not None:
+            self._work_observer.on_flow_opened(record.route, now)
+
+    def _end_open(self, record: TrackedFlow, now: float) -> None:
+        self._open -= 1
+        if self._work_observer is not None:
+            self._work_observer.on_flow_closed(record.route, now)
+
+    def _count(self, flow: FlowKey, record: TrackedFlow, now: float) -> None:
         """Count the flow as the phase of its request says."""
         phase = record.request.phase
+        if (phase is RequestPhase.RUNNING) != (flow in self._running):
+            self._note_running(flow, record, now)
         if phase in (RequestPhase.EXPECTED, RequestPhase.RUNNING):
             self._busy.add(flow)
         else:
@@ -133,6 +165,21 @@
         else:
             self._arriving.discard(flow)
 
+    def _note_running(self, flow: FlowKey, record: TrackedFlow, now: float) -> None:
+        """Tell the work observer that a request is complete, or that it has ended."""
+        if flow in self._running:
+            self._running.discard(flow)
+            if self._work_observer is not None:
+                self._work_observer.on_request_ended(flow, now)
+            return
+        self._running.add(flow)
+        if self._work_observer is not None:
+            # A request that a pause has ended arrived earlier.
+            since = record.request.running_since
+            self._work_observer.on_request_complete(
+                flow, record.route, now if since is None else since
+            )
+
     def track_client_packet(self, packet: FlowPacket, now: float) -> bool:
         """Track a packet other than an opening one; return whether the flow is tracked.
 
@@ -146,21 +193,20 @@
             if record.upstream_sequence is None or (
                 sequence_distance(record.upstream_sequence, packet.acknowledged) > OPEN_WINDOW_BYTES
             ):
-                self.forget(packet.flow)
+                self.forget(packet.flow, now)
                 return False
-            record.state = FlowState.OPEN
+            self._set_open(record, now)
             record.request.on_opened(now)
-            self._open += 1
         record.last_seen = now
         record.client_acknowledged = packet.acknowledged
         if packet.is_reset:
-            self._close(packet.flow, record)
+            self._close(packet.flow, record, now)
             return True
         if record.state is FlowState.OPEN:
             self._track_request(packet, record, now)
         if packet.is_final:
             record.client_finished = True
-            self._finish(packet.flow, record)
+            self._finish(packet.flow, record, now)
         return True
 
     def _track_request(self, packet: FlowPacket, record: TrackedFlow, now: float) -> None:
@@ -169,7 +215,7 @@
         if record.request.phase is RequestPhase.RUNNING and not was_running:
             other_busy = len(self._busy) - (packet.flow in self._busy)
             record.has_waited = other_busy >= self.slots
-        self._count(packet.flow, record)
+        self._count(packet.flow, record, now)
 
     def track_upstream_packet(self, packet: FlowPacket, now: float) -> bool:
         """Track a packet from the upstream; return whether it reveals a flow not tracked before."""
@@ -188,24 +234,32 @@
             request = RequestTracker(now=now)
             request.end()
             record = TrackedFlow(
-                state=FlowState.OPEN, opened_at=now, last_seen=now, request=request
+                state=FlowState.OPEN,
+                opened_at=now,
+                last_seen=now,
+                request=request,
+                route=self._route_of(packet.flow),
             )
             self._by_flow[packet.flow] = record
-            self._open += 1
+            self._set_open(record, now)
         record.last_seen = now
         if packet.is_reset:
             if record.state is FlowState.OPEN and record.request.phase in UNANSWERED_PHASES:
                 self._outlier_detector.on_reset(now)
-            self._close(packet.flow, record)
+            self._close(packet.flow, record, now)
             return False
         seconds = record.request.on_upstream_packet(packet, now)
         if seconds is not None:
             self._on_answer(seconds, record, now)
+            if packet.flow in self._running:
+                self._running.discard(packet.flow)
+                if self._work_observer is not None:
+                    self._work_observer.on_answer_begun(packet.flow, now)
         if packet.is_final:
             record.upstream_finished = True
             record.request.end()
-            self._finish(packet.flow, record)
-        self._count(packet.flow, record)
+            self._finish(packet.flow, record, now)
+        self._count(packet.flow, record, now)
         return discovered
 
     def _on_answer(self, seconds: float, record: TrackedFlow, now: float) -> None:
@@ -213,24 +267,26 @@
         if len(self.answer_seconds) < ANSWER_TIMES_LIMIT:
             self.answer_seconds.append(seconds)
 
-    def _finish(self, flow: FlowKey, record: TrackedFlow) -> None:
+    def _finish(self, flow: FlowKey, record: TrackedFlow, now: float) -> None:
         if record.client_finished and record.upstream_finished:
-            self._close(flow, record)
+            self._close(flow, record, now)
 
-    def _close(self, flow: FlowKey, record: TrackedFlow) -> None:
+    def _close(self, flow: FlowKey, record: TrackedFlow, now: float) -> None:
         if record.state is FlowState.OPEN:
-            self._open -= 1
+            self._end_open(record, now)
         record.state = FlowState.CLOSED
         record.request.end()
-        self._count(flow, record)
+        self._count(flow, record, now)
 
-    def forget(self, flow: FlowKey) -> None:
+    def forget(self, flow: FlowKey, now: float) -> None:
         """Drop the record of ``flow``."""
         record = self._by_flow.pop(flow, None)
         if record is None:
             return
         if record.state is FlowState.OPEN:
-            self._open -= 1
+            self._end_open(record, now)
+        if flow in self._running:
+            self._note_running(flow, record, now)
         self._busy.discard(flow)
         self._arriving.discard(flow)
 
@@ -240,7 +296,7 @@
         for flow in [*self._arriving, *self._busy]:
             record = self._by_flow[flow]
             record.request.settle(now, usual_s=usual_s)
-            self._count(flow, record)
+            self._count(flow, record, now)
 
     def expire(self, now: float) -> None:
         """Drop expired flows."""
@@ -252,9 +308,9 @@
                     inactive_s > self.idle_s
                     or now - record.opened_at > self._max_age_s + self.idle_s
                 ):
-                    self.forget(flow)
+                    self.forget(flow, now)
             elif record.state is FlowState.CLOSED:
                 if inactive_s > CLOSED_S:
-                    self.forget(flow)
+                    self.forget(flow, now)
             elif inactive_s > HALF_OPEN_S:
-                self.forget(flow)
+                self.forget(flow, now)
--- a/libs/flows/tests/test_flow_tracker.py
+++ b/libs/flows/tests/test_flow_tracker.py
@@ -6,6 +6,7 @@
 from laburnumbridge.flows import FlowState
 from laburnumbridge.flows import FlowTracker
 from laburnumbridge.flows import OutlierDetector
+from laburnumbridge.flows import WorkEstimator
 from laburnumbridge.standins.flows.stand_in_packets import make_flow_packet as packet
 
 FLOW = FlowKey(bytes(12))
@@ -108,3 +109,30 @@
         assert record.state is FlowState.CLOSED
         tracker.expire(6.0)
         assert tracker.get(FLOW) is None
+
+
+class TestWork:
+    def test_requests_and_flows_reach_the_estimator_by_route(self):
+        # Guards against an estimator that counts retransmissions, or flows that have ended.
+        estimator = WorkEstimator(slots=1)
+        tracker = FlowTracker(
+            limit=10,
+            idle_s=15.0,
+            max_age_s=60.0,
+            outlier_detector=OutlierDetector(),
+            work_observer=estimator,
+            route_name=lambda flow: "read",
+        )
+        open_flow(tracker)
+        request = packet(acknowledged=501, sequence=1, data_length=100)
+        tracker.track_client_packet(request, 1.0)
+        tracker.track_client_packet(request, 1.01)
+        assert estimator.requests == 1
+        tracker.track_upstream_packet(packet(sequence=501, data_length=200), 1.04)
+        assert estimator.expected_s("read") == pytest.approx(0.04)
+        assert estimator.demand(2.0) > 0.0
+        tracker.track_client_packet(packet(acknowledged=701, sequence=101, data_length=9), 2.0)
+        tracker.track_client_packet(packet(acknowledged=701, is_reset=True), 2.1)
+        assert estimator.requests == 0
+        assert estimator.samples == 1
+        assert estimator.demand(2.1) == 0.0
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -309,7 +309,7 @@
         flow, delivered = self._delivered_by_echo.get(packet.echo, (None, None))
         record = self._flows.get(packet.flow)
         was_open_here = record is not None and record.state is FlowState.OPEN
-        self._flows.forget(packet.flow)
+        self._flows.forget(packet.flow, now)
         if delivered is None or flow != packet.flow:
             # The upstream returned it so late that its number belongs to a later delivery.
             self.drop("unknown_echo", flow=flow_text(packet.flow))
@@ -370,7 +370,7 @@
             record = self._flows.get(flow)
             if record is not None:
                 self._reset(flow, record.client_acknowledged, "upstream_down")
-            self._flows.forget(flow)
+            self._flows.forget(flow, self.loop.now())
 
     def _expire(self) -> None:
         now = self.loop.now()
