Report the expected work at an upstream to processes that ask for it

Cause: balancers and agents place flows by counts, since load reports have nothing else.

Change: agents learn the work of requests and send it in reports of kind LOAD_DETAIL to processes that have sent a PROBE with version 2: at the first packet to an agent and once a second while they send. Others get reports of kind LOAD, and agents of the previous version answer such a PROBE with one. A request holds for 2 s, so that one lost request changes nothing. Agents have gauges and a histogram of the error of their estimates, and expected_work_s for a flow.

--- a/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
+++ b/libs/flows/src/laburnumbridge/flows/peer_datagrams.py
@@ -4,6 +4,8 @@
 
 import struct
 from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
 from enum import IntEnum
 
 from laburnumbridge.core import pack_ipv4
@@ -24,7 +26,10 @@
     LOCATED = 3
     RECORDS = 4
     PROBE = 5
-    """Requests a load report from an agent."""
+    """Requests a load report from an agent. With a second byte, from ``DETAIL_VERSION`` on, it
+    requests reports of kind LOAD_DETAIL for a time."""
+    LOAD_DETAIL = 6
+    """A load report with a work report, only for processes that have requested it."""
 
 
 class SearchStage(IntEnum):
@@ -62,6 +67,21 @@
     tried: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkReport:
+    """What an agent has learned about the work at its upstream.
+
+    ``wait_s`` is the expected wait of a new request and ``work_s`` its expected work there, None
+    if it isn't known. ``demand`` is the work of the open flows in seconds per second and slot, and
+    ``samples`` the number of answers that the expected work is learned from.
+    """
+
+    wait_s: float
+    work_s: float | None
+    demand: float
+    samples: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LoadReport:
     """An agent's report to a balancer on the load of its upstream.
@@ -69,7 +89,8 @@
     ``busy`` counts requests in progress and flows about to send one, ``arriving`` counts requests
     that clients are still sending, ``open_flows`` counts all open flows, and ``slots`` is the
     number of requests that the upstream runs at once. ``is_failing`` means that its requests seem
-    to fail, so new flows should use other upstreams if there are any.
+    to fail, so new flows should use other upstreams if there are any. ``work`` changes all the time
+    and is left out of comparisons, which tell whether a new report is due.
     """
 
     busy: int
@@ -78,6 +99,7 @@
     is_available: bool
     is_failing: bool = False
     arriving: int = 0
+    work: WorkReport | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -93,6 +115,12 @@
 MAX_TRIED = 8
 """Limit of the addresses in ``tried``; an opening packet is forwarded fewer times than this."""
 _LOAD = struct.Struct("!BHIHBH")
+_WORK = struct.Struct("!HHHB")
+_WORK_TIME_S = 0.0001
+"""Unit of the times in a work report, which end at 6.5 s."""
+_DEMAND_UNIT = 0.001
+DETAIL_VERSION = 2
+"""Version of the load report in a PROBE that requests work reports."""
 _AVAILABLE = 1
 _FAILING = 2
 
@@ -144,6 +172,54 @@
     )
 
 
+def encode_load_detail(report: LoadReport) -> bytes:
+    """Return the datagram of a load report with its work report, or of kind LOAD without one."""
+    work = report.work
+    if work is None:
+        return encode_load(report)
+    head = bytes((DatagramKind.LOAD_DETAIL,)) + encode_load(report)[1:]
+    # A known work is at least one unit, since 0 stands for an unknown one.
+    work_units = 0 if work.work_s is None else max(_units(work.work_s, _WORK_TIME_S), 1)
+    return head + _WORK.pack(
+        _units(work.wait_s, _WORK_TIME_S),
+        work_units,
+        _units(work.demand, _DEMAND_UNIT),
+        min(work.samples, 0xFF),
+    )
+
+
+def _units(value: float, unit: float) -> int:
+    return round(min(max(value / unit, 0), 0xFFFF))
+
+
+def encode_probe() -> bytes:
+    """Return the datagram that requests load reports of kind LOAD_DETAIL."""
+    return bytes((DatagramKind.PROBE, DETAIL_VERSION))
+
+
+def requests_detail(probe: bytes) -> bool:
+    """Return whether a datagram of kind PROBE requests reports of kind LOAD_DETAIL."""
+    return len(probe) > 1 and probe[1] >= DETAIL_VERSION
+
+
+def decode_load_detail(datagram: bytes) -> LoadReport:
+    """Decode a datagram of kind LOAD_DETAIL; later versions may append to it."""
+    report = decode_load(datagram[: _LOAD.size])
+    try:
+        wait, work, demand, samples = _WORK.unpack_from(datagram, _LOAD.size)
+    except struct.error as error:
+        raise MalformedPeerDatagramError(reason=str(error), size=len(datagram)) from error
+    return replace(
+        report,
+        work=WorkReport(
+            wait_s=wait * _WORK_TIME_S,
+            work_s=work * _WORK_TIME_S if work else None,
+            demand=demand * _DEMAND_UNIT,
+            samples=samples,
+        ),
+    )
+
+
 def decode_load(datagram: bytes) -> LoadReport:
     """Decode a datagram of kind LOAD."""
     try:
--- a/libs/flows/tests/test_peer_datagrams.py
+++ b/libs/flows/tests/test_peer_datagrams.py
@@ -14,11 +14,14 @@
 from laburnumbridge.flows.peer_datagrams import FlowLocationUpdate
 from laburnumbridge.flows.peer_datagrams import LoadReport
 from laburnumbridge.flows.peer_datagrams import SearchStage
+from laburnumbridge.flows.peer_datagrams import WorkReport
 from laburnumbridge.flows.peer_datagrams import decode_envelope
 from laburnumbridge.flows.peer_datagrams import decode_load
+from laburnumbridge.flows.peer_datagrams import decode_load_detail
 from laburnumbridge.flows.peer_datagrams import decode_locations
 from laburnumbridge.flows.peer_datagrams import encode_envelope
 from laburnumbridge.flows.peer_datagrams import encode_load
+from laburnumbridge.flows.peer_datagrams import encode_load_detail
 from laburnumbridge.flows.peer_datagrams import encode_locations
 
 
@@ -48,6 +51,31 @@
             )
             assert decode_load(encode_load(report)) == report
 
+    @pytest.mark.parametrize("further", [b"", b"\x01\x02"])
+    @pytest.mark.parametrize("work_s", [0.04, None])
+    def test_a_work_report_keeps_its_fields(self, further, work_s):
+        # Guards against placement by wrong times, and against a later version's report, which may
+        # be longer, that is dropped.
+        work = WorkReport(wait_s=0.0123, work_s=work_s, demand=0.75, samples=200)
+        report = LoadReport(busy=3, open_flows=7, slots=4, is_available=True, work=work)
+        decoded = decode_load_detail(encode_load_detail(report) + further)
+        assert decoded == report
+        assert decoded.work is not None
+        assert decoded.work.wait_s == pytest.approx(work.wait_s)
+        assert decoded.work.work_s == (None if work_s is None else pytest.approx(work_s))
+        assert decoded.work.demand == pytest.approx(work.demand)
+        assert decoded.work.samples == 200
+
+    def test_figures_out_of_range_saturate(self):
+        # Guards against an agent that can't report while its upstream hangs.
+        work = WorkReport(wait_s=90.0, work_s=1e-6, demand=1e9, samples=70_000)
+        report = LoadReport(busy=3, open_flows=7, slots=4, is_available=True, work=work)
+        decoded = decode_load_detail(encode_load_detail(report)).work
+        assert decoded is not None
+        assert decoded.wait_s == pytest.approx(6.5535)
+        assert decoded.work_s == pytest.approx(0.0001)
+        assert decoded.samples == 255
+
     def test_located_flows_keep_their_keys(self):
         # Guards against records under wrong keys.
         flows = (FlowKey(bytes(range(12))), FlowKey(bytes(12)))
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -17,19 +17,25 @@
 from laburnumbridge.flows import MalformedPeerDatagramError
 from laburnumbridge.flows import OutlierDetector
 from laburnumbridge.flows import UpstreamSelector
+from laburnumbridge.flows import WorkEstimator
 from laburnumbridge.flows.peer_datagrams import FLOWS_PER_DATAGRAM
 from laburnumbridge.flows.peer_datagrams import DatagramKind
 from laburnumbridge.flows.peer_datagrams import Envelope
 from laburnumbridge.flows.peer_datagrams import FlowLocationUpdate
 from laburnumbridge.flows.peer_datagrams import LoadReport
 from laburnumbridge.flows.peer_datagrams import SearchStage
+from laburnumbridge.flows.peer_datagrams import WorkReport
 from laburnumbridge.flows.peer_datagrams import decode_envelope
 from laburnumbridge.flows.peer_datagrams import decode_load
+from laburnumbridge.flows.peer_datagrams import decode_load_detail
 from laburnumbridge.flows.peer_datagrams import decode_locations
 from laburnumbridge.flows.peer_datagrams import encode_envelope
 from laburnumbridge.flows.peer_datagrams import encode_load
+from laburnumbridge.flows.peer_datagrams import encode_load_detail
 from laburnumbridge.flows.peer_datagrams import encode_locations
+from laburnumbridge.flows.peer_datagrams import requests_detail
 from laburnumbridge.forwarding.admission_control import AdmissionControl
+from laburnumbridge.forwarding.detail_requester import DetailRequester
 from laburnumbridge.forwarding.endpoints import parse_endpoint
 from laburnumbridge.forwarding.flow_search import FlowSearch
 from laburnumbridge.forwarding.forwarding_process import STOP_MARGIN_S
@@ -90,11 +96,15 @@
         )
         self._outlier_detector = OutlierDetector()
         self._was_failing = False
+        self._work = WorkEstimator()
+        self._upstream_started_ms: int | None = None
         self._flows = FlowTracker(
             limit=FLOWS_LIMIT,
             idle_s=DEFAULT_IDLE_S,
             max_age_s=self.settings.flow_max_age_s,
             outlier_detector=self._outlier_detector,
+            work_observer=self._work,
+            route_name=self._route_name,
         )
         self._locations = FlowLocations(agent=self.settings.address)
         self._entry_address_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
@@ -107,6 +117,7 @@
             process=self, forward=self._forward, reset=partial(self._reset, reason="not_found")
         )
         self._reporter = LoadReporter(port=self.peers, peer_port=self.settings.peer_port)
+        self._detail_requester = DetailRequester(port=self.peers, peer_port=self.settings.peer_port)
         self._was_listed = False
         self._upstream = UpstreamWatch(
             loop=self.loop,
@@ -125,7 +136,7 @@
             slots=lambda: self._slots,
             is_available=lambda: self._is_available,
             admit=self._admit,
-            forward=self._forward,
+            forward=self._forward_opening,
             reset=self._reset,
         )
 
@@ -164,8 +175,14 @@
         if entry is not None:
             self._was_listed = True
         self._flows.slots = 0 if entry is None else entry.slots
+        if entry is not None:
+            self._work.slots = entry.slots
+            if self._upstream_started_ms not in (None, entry.started_ms):
+                self._work.on_restart()
+            self._upstream_started_ms = entry.started_ms
         if update.entries or update.removals:
             self._selector.retain(self.directory.listed_agents)
+            self._detail_requester.retain(self.directory.listed_agents)
         if self._upstream.is_down and not self._has_draining_upstream:
             self._reset_open_flows()
 
@@ -201,6 +218,17 @@
         entry = self._own_entry
         return DEFAULT_SLOTS if entry is None else entry.slots
 
+    def expected_work_s(self, flow: FlowKey) -> float | None:
+        """Return the expected work of a request of ``flow`` at this upstream, in seconds.
+
+        It is None until the upstream has answered a request.
+        """
+        return self._work.expected_s(self._route_name(flow))
+
+    def _route_name(self, flow: FlowKey) -> str:
+        route = self.directory.route(flow)
+        return "" if route is None else route.name
+
     # Packets from balancers and agents.
 
     def on_peer_datagram(self, datagram: bytes, sender: Endpoint) -> None:
@@ -212,8 +240,10 @@
                 self._on_envelope(decode_envelope(datagram), sender, now)
             elif kind == DatagramKind.LOAD:
                 self._selector.on_load_report(sender[0], decode_load(datagram), now)
+            elif kind == DatagramKind.LOAD_DETAIL:
+                self._selector.on_load_report(sender[0], decode_load_detail(datagram), now)
             elif kind == DatagramKind.PROBE:
-                self.peers.send(encode_load(self._load_report), sender)
+                self._on_probe(datagram, sender, now)
             elif kind == DatagramKind.RECORDS:
                 located = decode_locations(datagram)
                 for flow in located.flows:
@@ -225,6 +255,13 @@
         except MalformedPacketError as error:
             self.drop(error.reason, peer=sender[0], size=error.size)
 
+    def _on_probe(self, datagram: bytes, sender: Endpoint, now: float) -> None:
+        if requests_detail(datagram):
+            self._reporter.on_detail_request(sender[0], now)
+            self.peers.send(encode_load_detail(self._load_report), sender)
+        else:
+            self.peers.send(encode_load(self._load_report), sender)
+
     def _on_envelope(self, envelope: Envelope, sender: Endpoint, now: float) -> None:
         packet = self.packet_codec.decode_from_client(envelope.raw)
         self._reporter.on_packet(sender[0], now)
@@ -264,6 +301,10 @@
         self._entry_address_by_flow.put(packet.flow, envelope.entry_address, now)
         self._deliver(packet, envelope)
 
+    def _forward_opening(self, envelope: Envelope, agent: str, stage: SearchStage) -> None:
+        self._detail_requester.on_sent(agent, self.loop.now())
+        self._forward(envelope, agent, stage)
+
     def _forward(self, envelope: Envelope, agent: str, stage: SearchStage) -> None:
         forwarded = replace(envelope, hops=min(envelope.hops + 1, 255), stage=stage)
         self.peers.send(encode_envelope(forwarded), (agent, self.settings.peer_port))
@@ -322,6 +363,7 @@
             self._admission.on_refused_by_upstream(packet, envelope, now)
         elif was_open_here:
             # The flow was open here and its upstream has lost it: no other upstream can hold it.
+            self._work.on_restart()
             if not packet.is_reset:
                 self._reset(packet.flow, packet.acknowledged, "lost_by_upstream")
         else:
@@ -356,6 +398,7 @@
 
     def _on_upstream_down(self) -> None:
         """Reset all open flows of the upstream that has ended, unless it is only draining."""
+        self._work.on_restart()
         self.log.write(
             Event.UPSTREAM_DOWN,
             outcome="draining" if self._has_draining_upstream else None,
@@ -386,6 +429,20 @@
         for seconds in self._flows.answer_seconds:
             self.metrics.observe("upstream_answer_seconds", seconds)
         self._flows.answer_seconds.clear()
+        self._report_work(now)
+
+    def _report_work(self, now: float) -> None:
+        self.metrics.gauge("expected_work_seconds", self._work.expected_s() or 0.0)
+        self.metrics.gauge("expected_wait_seconds", self._expected_wait_s(now))
+        self.metrics.gauge("flow_demand", self._work.demand(now))
+        for ratio in self._work.error_ratios:
+            self.metrics.observe("work_error_ratio", ratio)
+        self._work.error_ratios.clear()
+
+    def _expected_wait_s(self, now: float) -> float:
+        # Flows that are about to send their first request count as busy and aren't complete yet.
+        due = max(self._flows.busy - self._work.requests, 0)
+        return self._work.expected_wait_s(now, due=due)
 
     def _send_records(self, now: float) -> None:
         """Announce open flows to their directory nodes.
@@ -410,13 +467,20 @@
 
     @property
     def _load_report(self) -> LoadReport:
+        now = self.loop.now()
         return LoadReport(
             busy=self._flows.busy,
             open_flows=self._flows.open_flows,
             slots=self._slots,
             is_available=self._is_available,
-            is_failing=self._outlier_detector.is_failing(self.loop.now()),
+            is_failing=self._outlier_detector.is_failing(now),
             arriving=self._flows.arriving,
+            work=WorkReport(
+                wait_s=self._expected_wait_s(now),
+                work_s=self._work.expected_s(),
+                demand=self._work.demand(now),
+                samples=self._work.samples,
+            ),
         )
 
     def _report_failing_change(self, now: float) -> None:
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -18,8 +18,10 @@
 from laburnumbridge.flows.peer_datagrams import Envelope
 from laburnumbridge.flows.peer_datagrams import SearchStage
 from laburnumbridge.flows.peer_datagrams import decode_load
+from laburnumbridge.flows.peer_datagrams import decode_load_detail
 from laburnumbridge.flows.peer_datagrams import decode_locations
 from laburnumbridge.flows.peer_datagrams import encode_envelope
+from laburnumbridge.forwarding.detail_requester import DetailRequester
 from laburnumbridge.forwarding.endpoints import parse_endpoint
 from laburnumbridge.forwarding.forwarding_process import STOP_MARGIN_S
 from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
@@ -74,6 +76,7 @@
             parse_endpoint(self.settings.packet_endpoint), self._on_client_datagram
         )
         self._selector = UpstreamSelector(seed=hash64(self.settings.process.encode()))
+        self._detail_requester = DetailRequester(port=self.peers, peer_port=self.settings.peer_port)
         self._agent_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
             ttl_s=LOCATION_TTL_S, limit=FLOWS_LIMIT
         )
@@ -104,6 +107,7 @@
         """Drop the load of removed agents; with the first view, dispatch the buffered packets."""
         if update.entries or update.removals:
             self._selector.retain(self.directory.listed_agents)
+            self._detail_requester.retain(self.directory.listed_agents)
         if not self._had_view and self.view.catalog.is_ready:
             self._had_view = True
             self.metrics.count("packets_early_total", amount=len(self._early_packets))
@@ -117,6 +121,8 @@
         try:
             if kind == DatagramKind.LOAD:
                 self._selector.on_load_report(sender[0], decode_load(datagram), now)
+            elif kind == DatagramKind.LOAD_DETAIL:
+                self._selector.on_load_report(sender[0], decode_load_detail(datagram), now)
             elif kind == DatagramKind.LOCATED:
                 located = decode_locations(datagram)
                 for flow in located.flows:
@@ -230,6 +236,7 @@
     ) -> None:
         self.metrics.count("packets_forwarded_total")
         self._selector.on_sent(agent, now)
+        self._detail_requester.on_sent(agent, now)
         envelope = Envelope(
             stage=stage,
             hops=0,
--- a/libs/forwarding/src/laburnumbridge/forwarding/load_reporter.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/load_reporter.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from laburnumbridge.flows.peer_datagrams import encode_load
+from laburnumbridge.flows.peer_datagrams import encode_load_detail
 
 if TYPE_CHECKING:
     from laburnumbridge.flows.peer_datagrams import LoadReport
@@ -21,6 +23,10 @@
 traffic may take 27 KB/s of a link."""
 RECIPIENT_TTL_S = 1.0
 """Processes get load reports for this time after their last packet."""
+DETAIL_TTL_S = 2.0
+"""Processes get work reports for this time after the last request, which they repeat once a second,
+so that a lost one changes nothing. A process that is replaced by one of a version that can't decode
+them takes longer to restart than what is left of this time."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -28,12 +34,14 @@
     last_packet_at: float
     last_report_at: float = 0.0
     last_report: LoadReport | None = None
+    detail_until: float = -math.inf
 
 
 class LoadReporter:
     """Sends load reports to the processes that sent packets within ``RECIPIENT_TTL_S``.
 
-    A report is due after a change, or after ``ANSWER_INTERVAL_S`` as the answer to a packet.
+    A report is due after a change, or after ``ANSWER_INTERVAL_S`` as the answer to a packet. It has
+    a work report for those that have requested that; a change of the work alone makes none due.
     """
 
     def __init__(self, *, port: DatagramPort, peer_port: int) -> None:
@@ -49,12 +57,22 @@
         else:
             recipient.last_packet_at = now
 
+    def on_detail_request(self, address: str, now: float) -> None:
+        """Note that the process at ``address`` requests reports with a work report."""
+        recipient = self._recipient_by_address.get(address)
+        if recipient is None:
+            # The request precedes the first packet.
+            recipient = _Recipient(last_packet_at=now)
+            self._recipient_by_address[address] = recipient
+        recipient.detail_until = now + DETAIL_TTL_S
+
     def send(self, report: LoadReport, now: float) -> None:
         """Send ``report`` to the processes that are due, at most ``REPORTS_PER_INTERVAL`` of them.
 
         They take turns: at full size hundreds of balancers send packets to each agent.
         """
-        datagram = encode_load(report)
+        plain = encode_load(report)
+        detailed = encode_load_detail(report)
         sent = 0
         for address, recipient in list(self._recipient_by_address.items()):
             if sent == REPORTS_PER_INTERVAL:
@@ -67,6 +85,7 @@
             if has_changed or is_due:
                 recipient.last_report = report
                 recipient.last_report_at = now
+                datagram = detailed if now < recipient.detail_until else plain
                 self._port.send(datagram, (address, self._peer_port))
                 # Move it to the end, so that the others are first in the next interval.
                 self._recipient_by_address[address] = self._recipient_by_address.pop(address)
--- a/libs/forwarding/tests/test_decoders.py
+++ b/libs/forwarding/tests/test_decoders.py
@@ -19,11 +19,14 @@
 from laburnumbridge.flows.peer_datagrams import FlowLocationUpdate
 from laburnumbridge.flows.peer_datagrams import LoadReport
 from laburnumbridge.flows.peer_datagrams import SearchStage
+from laburnumbridge.flows.peer_datagrams import WorkReport
 from laburnumbridge.flows.peer_datagrams import decode_envelope
 from laburnumbridge.flows.peer_datagrams import decode_load
+from laburnumbridge.flows.peer_datagrams import decode_load_detail
 from laburnumbridge.flows.peer_datagrams import decode_locations
 from laburnumbridge.flows.peer_datagrams import encode_envelope
 from laburnumbridge.flows.peer_datagrams import encode_load
+from laburnumbridge.flows.peer_datagrams import encode_load_detail
 from laburnumbridge.flows.peer_datagrams import encode_locations
 from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
 from laburnumbridge.standins.flows.platform_data import make_configuration
@@ -57,6 +60,15 @@
     )
 )
 LOAD = encode_load(LoadReport(busy=1, open_flows=2, slots=3, is_available=True))
+LOAD_DETAIL = encode_load_detail(
+    LoadReport(
+        busy=1,
+        open_flows=2,
+        slots=3,
+        is_available=True,
+        work=WorkReport(wait_s=0.01, work_s=0.04, demand=0.5, samples=9),
+    )
+)
 LOCATIONS = encode_locations(
     DatagramKind.RECORDS,
     FlowLocationUpdate(agent_address="10.0.0.1", flows=(FlowKey(bytes(12)),)),
@@ -92,6 +104,7 @@
             (decode_update, UPDATE),
             (decode_envelope, ENVELOPE),
             (decode_load, LOAD),
+            (decode_load_detail, LOAD_DETAIL),
             (decode_locations, LOCATIONS),
         ],
     )
