Place flows by expected work while the upstreams of a service are uneven

Cause: a slow upstream gets as many flows for each slot as a fast one, so that requests wait there while fast ones are idle.

An agent queues an opening at its own busy upstream if that is expected to be quicker than all others. Without differences the scores are those from before.

--- a/libs/core/src/laburnumbridge/core/event.py
+++ b/libs/core/src/laburnumbridge/core/event.py
@@ -47,6 +47,11 @@
     UPSTREAM_SILENT = (311, "warning", "The upstream doesn't answer the opening packets of flows.")
     AGENTS_UNREACHABLE = (312, "warning", "No agent responds, or one responds again.")
     UPSTREAM_FAILING = (313, "warning", "Requests at the upstream seem to fail, or no longer do.")
+    UPSTREAMS_UNEVEN = (
+        314,
+        "info",
+        "Flows of a service are placed by expected work, or no longer.",
+    )
     UPSTREAM_DRAINING = (303, "info", "The upstream is draining; it receives no new work.")
     FLOW_OPENED = (403, "debug", "A client's connection is open.")
     FLOW_CLOSED = (404, "debug", "A client's connection has ended.")
--- a/libs/flows/src/laburnumbridge/flows/__init__.py
+++ b/libs/flows/src/laburnumbridge/flows/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from laburnumbridge.flows.agent_ranking import AgentRanking
+from laburnumbridge.flows.candidate import Candidate
 from laburnumbridge.flows.errors import MalformedPacketError
 from laburnumbridge.flows.errors import MalformedPeerDatagramError
 from laburnumbridge.flows.expiring_map import ExpiringMap
@@ -19,10 +20,11 @@
 from laburnumbridge.flows.packet_codec import PacketCodec
 from laburnumbridge.flows.search_order import SearchOrder
 from laburnumbridge.flows.search_order import SearchStep
-from laburnumbridge.flows.upstream_selector import Candidate
 from laburnumbridge.flows.upstream_selector import UpstreamSelector
 from laburnumbridge.flows.work_estimator import WorkEstimator
 from laburnumbridge.flows.work_observer import WorkObserver
+from laburnumbridge.flows.work_placement import UnevennessChange
+from laburnumbridge.flows.work_placement import WorkPlacement
 
 __all__ = [
     "AgentRanking",
@@ -43,7 +45,9 @@
     "SearchOrder",
     "SearchStep",
     "TrackedFlow",
+    "UnevennessChange",
     "UpstreamSelector",
     "WorkEstimator",
     "WorkObserver",
+    "WorkPlacement",
 ]
--- a/libs/flows/src/laburnumbridge/flows/upstream_selector.py
+++ b/libs/flows/src/laburnumbridge/flows/upstream_selector.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
 
 from laburnumbridge.core import Choice
+from laburnumbridge.flows.received_report import ReceivedReport
+from laburnumbridge.flows.work_placement import WorkPlacement
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+    from laburnumbridge.flows.candidate import Candidate
     from laburnumbridge.flows.peer_datagrams import LoadReport
+    from laburnumbridge.flows.work_placement import UnevennessChange
 
 PENDING_S = 0.05
 """Two report intervals. A placement is added to the reported load for at least this time, and then
@@ -36,26 +39,11 @@
 overload the others."""
 STALE_REPORT_S = 1.0
 """Age from which the busy slots of a report are disregarded; requests take a tenth of it."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Candidate:
-    """An agent that may receive a new flow.
-
-    ``slow_start`` lies in (0, 1]; a starting upstream is placed as if it had that share of its
-    slots.
-    """
-
-    agent: str
-    failure_domain: str
-    slots: int
-    slow_start: float
-
-
-@dataclass(kw_only=True, slots=True)
-class _ReceivedReport:
-    report: LoadReport
-    reported_at: float
+HANDOVER_S = 0.002
+"""Time that an opening packet takes to another agent, with a margin for its handling."""
+REFRESH_S = 0.1
+"""The unevenness of a service's upstreams is computed again after this time: an agent has a tenth
+of the answers of its mean in it."""
 
 
 class UpstreamSelector:
@@ -64,12 +52,20 @@
     A flow that carries one request goes to the upstream with the lowest share of busy slots, and
     among these to the one to which fewest requests are still being sent. A long flow goes to the
     upstream with the fewest open flows per slot, since its requests arrive later. Ties are broken
-    at random, so that balancers with the same view don't pick the same agent.
+    at random, so that balancers with the same view don't pick the same agent. While the upstreams
+    of a service are uneven, ``WorkPlacement`` takes the place of these shares.
+
+    ``failure_domain`` is that of this process. Services are told apart by their tags in envelopes.
     """
 
-    def __init__(self, *, seed: int) -> None:
+    def __init__(self, *, seed: int, failure_domain: str = "") -> None:
         self._choice = Choice(seed=seed)
-        self._report_by_agent: dict[str, _ReceivedReport] = {}
+        self._failure_domain = failure_domain
+        self._has_work_reports = False
+        self._placement_by_tag: dict[int, WorkPlacement] = {}
+        self._refreshed_at_by_tag: dict[int, float] = {}
+        self._unevenness_changes: list[tuple[int, UnevennessChange]] = []
+        self._report_by_agent: dict[str, ReceivedReport] = {}
         self._placed_at_by_agent: dict[str, list[float]] = {}
         self._avoid_until_by_agent: dict[str, float] = {}
         self._unanswered_since_by_agent: dict[str, float] = {}
@@ -111,7 +107,15 @@
     def on_load_report(self, agent: str, report: LoadReport, now: float) -> None:
         """Store a load report, which also answers the packets sent before."""
         self.on_received(agent, now)
-        self._report_by_agent[agent] = _ReceivedReport(report=report, reported_at=now)
+        received = ReceivedReport(report=report, reported_at=now)
+        if report.work is not None:
+            self._has_work_reports = True
+            received.work = report.work
+            received.work_reported_at = now
+        elif (last := self._report_by_agent.get(agent)) is not None:
+            received.work = last.work
+            received.work_reported_at = last.work_reported_at
+        self._report_by_agent[agent] = received
 
     def retain(self, agents: Collection[str]) -> None:
         """Remove the state of all agents that are not in ``agents``."""
@@ -136,19 +140,30 @@
         is_long: bool,
         now: float,
         excluded: Collection[str] = (),
+        service_tag: int = 0,
     ) -> str | None:
-        """Count a placement on the best agent for a new flow and return it, or None without one."""
-        best: tuple[float, float, float, float] | None = None
+        """Count a placement on the best agent for a new flow and return it, or None without one.
+
+        ``candidates`` are agents of the service with ``service_tag``.
+        """
+        best: tuple[float, ...] | None = None
         chosen = None
-        mean_busy_share = self._mean_busy_share(candidates, now)
+        placement = self._uneven_placement(candidates, service_tag, now)
+        mean_busy_share = 0.0 if placement else self._mean_busy_share(candidates, now)
         failing = self._failing(candidates, now)
+        score: tuple[float, ...]
         for candidate in candidates:
             if candidate.agent in excluded:
                 continue
             is_failing = candidate.agent in failing
-            score = self._score(
-                candidate, mean_busy_share, is_long=is_long, is_failing=is_failing, now=now
-            )
+            if placement is not None:
+                score = self._work_score(
+                    candidate, placement, is_long=is_long, is_failing=is_failing, now=now
+                )
+            else:
+                score = self._score(
+                    candidate, mean_busy_share, is_long=is_long, is_failing=is_failing, now=now
+                )
             if best is None or score < best:
                 best = score
                 chosen = candidate.agent
@@ -157,18 +172,98 @@
         return chosen
 
     def choose_idle(
-        self, candidates: Collection[Candidate], *, now: float, excluded: Collection[str] = ()
+        self,
+        candidates: Collection[Candidate],
+        *,
+        now: float,
+        is_long: bool = False,
+        excluded: Collection[str] = (),
+        service_tag: int = 0,
     ) -> str | None:
         """Like ``choose``, but only among agents whose recent report shows a free slot."""
-        idle = [
-            candidate
-            for candidate in candidates
-            if (last := self._fresh_report(candidate.agent, now)) is not None
+        self._uneven_placement(candidates, service_tag, now)  # judged by all of the service
+        idle = [candidate for candidate in candidates if self._has_free_slot(candidate, now)]
+        return self.choose(
+            idle, is_long=is_long, now=now, excluded=excluded, service_tag=service_tag
+        )
+
+    def _has_free_slot(self, candidate: Candidate, now: float) -> bool:
+        last = self._fresh_report(candidate.agent, now)
+        return (
+            last is not None
             and last.report.busy + self._pending(candidate.agent, now) < candidate.slots
             and last.report.is_available
             and not last.report.is_failing
-        ]
-        return self.choose(idle, is_long=False, now=now, excluded=excluded)
+        )
+
+    def is_full(self, candidates: Collection[Candidate], now: float) -> bool:
+        """Return whether all ``candidates`` are known to have no free slot."""
+        return bool(candidates) and all(self._is_full(each, now) for each in candidates)
+
+    def _is_full(self, candidate: Candidate, now: float) -> bool:
+        if self._fresh_report(candidate.agent, now) is None:
+            return self.unanswered_s(candidate.agent, now) > UNRESPONSIVE_S
+        return not self._has_free_slot(candidate, now)
+
+    def is_quicker_here(
+        self,
+        candidates: Collection[Candidate],
+        *,
+        own_s: float,
+        now: float,
+        excluded: Collection[str],
+        service_tag: int = 0,
+    ) -> bool:
+        """Return whether an opening is expected to be answered sooner here, within ``own_s``.
+
+        It is compared with all others and a handover. While the upstreams of the service are even,
+        the answer is False.
+        """
+        placement = self._uneven_placement(candidates, service_tag, now)
+        if placement is None:
+            return False
+        failing = self._failing(candidates, now)
+        return not any(
+            self._work_score(
+                candidate,
+                placement,
+                is_long=False,
+                is_failing=candidate.agent in failing,
+                now=now,
+            )[0]
+            + HANDOVER_S
+            < own_s
+            for candidate in candidates
+            if candidate.agent not in excluded
+        )
+
+    def is_uneven(self, service_tag: int) -> bool:
+        """Return whether flows of a service are placed by expected work."""
+        placement = self._placement_by_tag.get(service_tag)
+        return placement is not None and placement.is_uneven
+
+    def take_unevenness_changes(self) -> list[tuple[int, UnevennessChange]]:
+        """Return the changes since the last call, with the tags of the services."""
+        changes = self._unevenness_changes
+        self._unevenness_changes = []
+        return changes
+
+    def _uneven_placement(
+        self, candidates: Collection[Candidate], service_tag: int, now: float
+    ) -> WorkPlacement | None:
+        """Return the placement by work, or None while the upstreams of the service are even."""
+        if not self._has_work_reports or not candidates:
+            return None
+        placement = self._placement_by_tag.get(service_tag)
+        if placement is None:
+            placement = WorkPlacement(failure_domain=self._failure_domain)
+            self._placement_by_tag[service_tag] = placement
+        if now - self._refreshed_at_by_tag.get(service_tag, -REFRESH_S) >= REFRESH_S:
+            self._refreshed_at_by_tag[service_tag] = now
+            change = placement.refresh(candidates, self._report_by_agent, now)
+            if change is not None:
+                self._unevenness_changes.append((service_tag, change))
+        return placement if placement.is_uneven else None
 
     def _failing(self, candidates: Collection[Candidate], now: float) -> set[str]:
         """Return the agents that report failures; none if they exceed ``FAILING_SHARE_LIMIT``."""
@@ -189,7 +284,7 @@
         ]
         return sum(shares) / len(shares) if shares else 0.0
 
-    def _fresh_report(self, agent: str, now: float) -> _ReceivedReport | None:
+    def _fresh_report(self, agent: str, now: float) -> ReceivedReport | None:
         last = self._report_by_agent.get(agent)
         if last is None or now - last.reported_at > STALE_REPORT_S:
             return None
@@ -213,15 +308,6 @@
         last = self._report_by_agent.get(agent)
         open_flows = 0 if last is None else last.report.open_flows
         arriving = 0 if fresh is None else fresh.report.arriving
-        available = (
-            last is None
-            or last.report.is_available
-            or now - last.reported_at > UNAVAILABLE_REPORT_TTL_S
-        )
-        if self._avoid_until_by_agent.get(agent, 0.0) > now:
-            available = False
-        if self.unanswered_s(agent, now) > UNRESPONSIVE_S:
-            available = False
         busy_share = (busy + pending) / capacity
         flow_share = (open_flows + pending) / capacity
         arriving_share = arriving / capacity
@@ -230,9 +316,44 @@
             if is_long
             else (busy_share, arriving_share, flow_share)
         )
-        penalty = (not available) * UNAVAILABLE_PENALTY + is_failing * FAILING_PENALTY
+        penalty = self._penalty(agent, last, is_failing=is_failing, now=now)
         return (penalty + shares[0], *shares[1:], self._choice.fraction())
 
+    def _work_score(
+        self,
+        candidate: Candidate,
+        placement: WorkPlacement,
+        *,
+        is_long: bool,
+        is_failing: bool,
+        now: float,
+    ) -> tuple[float, ...]:
+        agent = candidate.agent
+        last = self._report_by_agent.get(agent)
+        score = placement.score(
+            candidate,
+            last,
+            pending=self._pending(agent, now),
+            is_long=is_long,
+            fraction=self._choice.fraction(),
+            now=now,
+        )
+        return (self._penalty(agent, last, is_failing=is_failing, now=now) + score,)
+
+    def _penalty(
+        self, agent: str, last: ReceivedReport | None, *, is_failing: bool, now: float
+    ) -> float:
+        available = (
+            last is None
+            or last.report.is_available
+            or now - last.reported_at > UNAVAILABLE_REPORT_TTL_S
+        )
+        if self._avoid_until_by_agent.get(agent, 0.0) > now:
+            available = False
+        if self.unanswered_s(agent, now) > UNRESPONSIVE_S:
+            available = False
+        return (not available) * UNAVAILABLE_PENALTY + is_failing * FAILING_PENALTY
+
     def _pending(self, agent: str, now: float) -> int:
         placed_at = self._placed_at_by_agent.get(agent)
         if not placed_at:
--- a/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
@@ -50,8 +50,10 @@
     """Admits opening packets to an upstream, holds them, hands them over or refuses them.
 
     ``slots`` returns the requests that the upstream runs at once, and ``is_available`` whether it
-    takes new flows. ``admit`` hands a packet to the upstream, ``forward`` sends it to another
-    agent, and ``reset`` resets a flow with an acknowledged sequence number and a reason.
+    takes new flows. ``expected_s`` returns the seconds in which a new request would be answered
+    here, or None if that isn't known. ``admit`` hands a packet to the upstream, ``forward`` sends
+    it to another agent, and ``reset`` resets a flow with an acknowledged sequence number and a
+    reason.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         outlier_detector: OutlierDetector,
         slots: Callable[[], int],
         is_available: Callable[[], bool],
+        expected_s: Callable[[float], float | None],
         admit: Callable[[FlowPacket, Envelope, float], None],
         forward: Callable[[Envelope, str, SearchStage], None],
         reset: Callable[[FlowKey, int, str], None],
@@ -75,6 +78,7 @@
         self._outlier_detector = outlier_detector
         self._slots = slots
         self._is_available = is_available
+        self._expected_s = expected_s
         self._admit = admit
         self._forward = forward
         self._reset = reset
@@ -152,12 +156,19 @@
             return False
         others = self._process.directory.candidates(envelope.service_tag, now)
         own_address = self._process.settings.address
+        tag = envelope.service_tag
         agent = self._selector.choose(
-            others, is_long=False, now=now, excluded=(own_address, *envelope.tried)
+            others,
+            is_long=False,
+            now=now,
+            excluded=(own_address, *envelope.tried),
+            service_tag=tag,
         )
         if agent is None and reason not in OVERRIDABLE_REASONS:
             # All others were tried; one that was only busy may take the packet now.
-            agent = self._selector.choose(others, is_long=False, now=now, excluded=(own_address,))
+            agent = self._selector.choose(
+                others, is_long=False, now=now, excluded=(own_address,), service_tag=tag
+            )
         if agent is None:
             return False
         self._send_handover(packet.flow, envelope, agent, reason, now)
@@ -209,10 +220,16 @@
         others = self._process.directory.candidates(self._service_tag, now)
         while self._held_openings:
             if self._is_available():
-                agent = self._selector.choose_idle(others, now=now, excluded=(own_address,))
+                agent = self._selector.choose_idle(
+                    others, now=now, excluded=(own_address,), service_tag=self._service_tag
+                )
             else:
                 agent = self._selector.choose(
-                    others, is_long=False, now=now, excluded=(own_address,)
+                    others,
+                    is_long=False,
+                    now=now,
+                    excluded=(own_address,),
+                    service_tag=self._service_tag,
                 )
             waiting_newest = self._held_openings.pop_newest() if agent is not None else None
             if agent is None or waiting_newest is None:
@@ -227,11 +244,33 @@
             return "unavailable"
         is_busy = self._flows.busy >= self._slots() or self._has_full_arrivals
         if is_busy and len(envelope.tried) < MAX_HANDOVERS:
-            return "busy"
+            return None if self._is_quicker_here(envelope, now) else "busy"
         if not envelope.tried and self._outlier_detector.is_failing(now):
             return "failing"
         return None
 
+    def _is_quicker_here(self, envelope: Envelope, now: float) -> bool:
+        """Return whether the upstream's queue is expected to be quicker than any other upstream.
+
+        An opening that would be held here is handed over all the same, since the requests of open
+        flows aren't held and would overtake it.
+        """
+        if not self._has_room or self._outlier_detector.is_failing(now):
+            return False
+        own_s = self._expected_s(now)
+        return own_s is not None and self._selector.is_quicker_here(
+            self._process.directory.candidates(envelope.service_tag, now),
+            own_s=own_s,
+            now=now,
+            excluded=(self._process.settings.address, *envelope.tried),
+            service_tag=envelope.service_tag,
+        )
+
+    @property
+    def held(self) -> int:
+        """Number of openings that wait for a slot."""
+        return len(self._held_openings)
+
     def _send_handover(
         self, flow: FlowKey, envelope: Envelope, agent: str, reason: str, now: float
     ) -> None:
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -110,7 +110,10 @@
         self._entry_address_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
             ttl_s=ENTRY_ADDRESS_TTL_S, limit=FLOWS_LIMIT
         )
-        self._selector = UpstreamSelector(seed=hash64(self.settings.process.encode()))
+        self._selector = UpstreamSelector(
+            seed=hash64(self.settings.process.encode()),
+            failure_domain=self.settings.failure_domain,
+        )
         self._delivered_by_echo: dict[int, tuple[FlowKey, Envelope]] = {}
         self._next_echo = 1
         self._search = FlowSearch(
@@ -135,6 +138,7 @@
             outlier_detector=self._outlier_detector,
             slots=lambda: self._slots,
             is_available=lambda: self._is_available,
+            expected_s=self._expected_answer_s,
             admit=self._admit,
             forward=self._forward_opening,
             reset=self._reset,
@@ -378,6 +382,7 @@
     def _upkeep(self) -> None:
         now = self.loop.now()
         self._admission.upkeep(now)
+        self.report_unevenness(self._selector)
         for envelope in self._upstream.take_unanswered(now):
             packet = self.packet_codec.decode_from_client(envelope.raw)
             self._admission.hand_over(packet, envelope, "unanswered", now)
@@ -441,9 +446,13 @@
 
     def _expected_wait_s(self, now: float) -> float:
         # Flows that are about to send their first request count as busy and aren't complete yet.
-        due = max(self._flows.busy - self._work.requests, 0)
+        due = max(self._flows.busy - self._work.requests, 0) + self._admission.held
         return self._work.expected_wait_s(now, due=due)
 
+    def _expected_answer_s(self, now: float) -> float | None:
+        work_s = self._work.expected_s()
+        return None if work_s is None else self._expected_wait_s(now) + work_s
+
     def _send_records(self, now: float) -> None:
         """Announce open flows to their directory nodes.
 
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -26,6 +26,7 @@
     from laburnumbridge.catalog import PlatformCodec
     from laburnumbridge.flows import FlowKey
     from laburnumbridge.flows import PacketCodec
+    from laburnumbridge.flows import UpstreamSelector
     from laburnumbridge.forwarding.decision_log import DecisionLog
     from laburnumbridge.forwarding.endpoints import Endpoint
     from laburnumbridge.forwarding.forwarding_settings import ForwardingSettings
@@ -170,6 +171,17 @@
         )
         return self.packet_codec.reset(flow, sequence=acknowledged)
 
+    def report_unevenness(self, selector: UpstreamSelector) -> None:
+        """Log the services whose upstreams ``selector`` has found to be uneven or even again."""
+        for tag, change in selector.take_unevenness_changes():
+            self.log.write(
+                Event.UPSTREAMS_UNEVEN,
+                outcome="entered" if change.is_uneven else "left",
+                service=self.directory.service_name(tag),
+                slowest_s=round(change.slowest_s, 4),
+                fastest_s=round(change.fastest_s, 4),
+            )
+
     def client_endpoint(self, flow: FlowKey) -> Endpoint:
         """Return the endpoint of a flow's client."""
         return unpack_ipv4(flow[0:4]), self._packet_port
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -144,6 +144,15 @@
         """
         return self._entry_by_upstream.get((agent, port, service))
 
+    def serves(self, agent: str, tag: int) -> bool:
+        """Return whether an upstream of the service is listed at the address of ``agent``."""
+        return any(entry.address == agent for entry in self._entries_by_tag.get(tag, ()))
+
+    def service_name(self, tag: int) -> str:
+        """Return the name of a service that has upstreams, or an empty string."""
+        entries = self._entries_by_tag.get(tag)
+        return entries[0].service if entries else ""
+
     def search_order(self, tag: int) -> SearchOrder:
         """Return the order of search for flows of a route whose service now has the tag."""
         return SearchOrder(
