Place flows of balancers by expected work and let them overflow to another service

Cause: balancers receive the expected work and don't use it, and flows wait for a slot of the service that their hash selects while another service of their route has free ones.

Change: balancers place by work with their failure domain, log upstreams_uneven, and count placements_total by even and uneven. If all upstreams of the selected service are known to be full, a flow goes to a free slot of another service with a weight above 0 (flows_overflowed_total). That is limited to routes with a target latency and to services with uneven upstreams, so that weights hold strictly in other deployments. A copy of an opening carries the service of its first agent.

--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -29,8 +29,11 @@
 from laburnumbridge.forwarding.service_directory import service_tag
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from laburnumbridge.catalog import CatalogUpdate
     from laburnumbridge.catalog import Route
+    from laburnumbridge.flows import Candidate
     from laburnumbridge.flows import FlowKey
     from laburnumbridge.flows import FlowPacket
     from laburnumbridge.forwarding.endpoints import Endpoint
@@ -75,7 +78,10 @@
         self._packets = self.network.datagram_port(
             parse_endpoint(self.settings.packet_endpoint), self._on_client_datagram
         )
-        self._selector = UpstreamSelector(seed=hash64(self.settings.process.encode()))
+        self._selector = UpstreamSelector(
+            seed=hash64(self.settings.process.encode()),
+            failure_domain=self.settings.failure_domain,
+        )
         self._detail_requester = DetailRequester(port=self.peers, peer_port=self.settings.peer_port)
         self._agent_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
             ttl_s=LOCATION_TTL_S, limit=FLOWS_LIMIT
@@ -170,23 +176,30 @@
         if located_agent is not None:
             # A copy of an opening packet. A responsive agent has received the first one.
             if self._selector.is_responsive(located_agent, now):
+                tag = self._located_tag(route, tag, located_agent)
                 self._send(packet, located_agent, tag, SearchStage.DIRECT, now)
                 return
             self._selector.avoid(located_agent, now + AVOID_S)
             excluded = (located_agent,)
         candidates = self.directory.candidates(tag, now)
-        agent = self._selector.choose(
-            candidates,
-            is_long=route.is_retryable and not route.is_transfer,
-            now=now,
-            excluded=excluded,
-        )
+        is_long = route.is_retryable and not route.is_transfer
+        overflow = self._overflow(route, tag, candidates, is_long=is_long, excluded=excluded)
+        agent: str | None
+        if overflow is not None:
+            agent, tag = overflow
+        else:
+            agent = self._selector.choose(
+                candidates, is_long=is_long, now=now, excluded=excluded, service_tag=tag
+            )
         agent = agent or located_agent
         if agent is None:
             self._reset(packet, "no_upstream")
             return
         self._agent_by_flow.put(packet.flow, agent, now)
         self.metrics.count("flows_placed_total")
+        self.metrics.count(
+            "placements_total", "uneven" if self._selector.is_uneven(tag) else "even"
+        )
         self.log.write(
             Event.FLOW_PLACED,
             outcome="copy" if located_agent else "first",
@@ -199,6 +212,51 @@
         )
         self._send(packet, agent, tag, SearchStage.DIRECT, now)
 
+    def _overflow(
+        self,
+        route: Route,
+        tag: int,
+        candidates: Collection[Candidate],
+        *,
+        is_long: bool,
+        excluded: Collection[str],
+    ) -> tuple[str, int] | None:
+        """Return an agent with a free slot and the tag of its service, another one of the route.
+
+        It is None unless all upstreams of the selected service are known to be full. Only routes
+        with a target latency and services with uneven upstreams overflow, so that the weights hold
+        strictly elsewhere.
+        """
+        if len(route.shares) == 1:
+            return None
+        if not route.target_latency_ms and not self._selector.is_uneven(tag):
+            return None
+        now = self.loop.now()
+        if not self._selector.is_full(candidates, now):
+            return None
+        for share in route.shares:
+            other_tag = service_tag(share.service)
+            if not share.weight or other_tag == tag:
+                continue
+            agent = self._selector.choose_idle(
+                self.directory.candidates(other_tag, now),
+                now=now,
+                is_long=is_long,
+                excluded=excluded,
+                service_tag=other_tag,
+            )
+            if agent is not None:
+                self.metrics.count("flows_overflowed_total")
+                return agent, other_tag
+        return None
+
+    def _located_tag(self, route: Route, tag: int, agent: str) -> int:
+        """Return the tag of the service that the first copy of an opening packet was sent with."""
+        if len(route.shares) == 1 or self.directory.serves(agent, tag):
+            return tag
+        others = (service_tag(share.service) for share in route.shares)
+        return next((other for other in others if self.directory.serves(agent, other)), tag)
+
     def _forward(self, packet: FlowPacket, route: Route, now: float) -> None:
         tag = self._service_tag(route, packet.flow)
         agent = self._agent_by_flow.touch(packet.flow, now)
@@ -273,6 +331,7 @@
     def _upkeep(self) -> None:
         now = self.loop.now()
         self._update_isolation(now)
+        self.report_unevenness(self._selector)
         for packet in self._early_packets.expire(now):
             self._dispatch(packet, now)
         self._agent_by_flow.expire(now)
--- a/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
@@ -31,6 +31,7 @@
     timeout_ms: int = 0,
     weight_by_service: Mapping[str, int] = ONE_SERVICE,
     services: tuple[str, ...] = SERVICES,
+    target_latency_ms: int = 0,
 ) -> RoutingConfiguration:
     """Return routes from ``endpoints``; ``timeout_ms`` 0 is no time-out."""
     return RoutingConfiguration(
@@ -47,6 +48,7 @@
                 is_retryable=False,
                 is_transfer=False,
                 timeout_ms=timeout_ms,
+                target_latency_ms=target_latency_ms,
             )
             for address, port in endpoints
         ),
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -129,6 +129,7 @@
         timeout_ms: int = 0,
         weight_by_service: Mapping[str, int] = ONE_SERVICE,
         services: tuple[str, ...] = SERVICES,
+        target_latency_ms: int = 0,
     ) -> None:
         """Publish a configuration with routes from ``endpoints``."""
         self.platform.configure(
@@ -138,6 +139,7 @@
                 timeout_ms=timeout_ms,
                 weight_by_service=weight_by_service,
                 services=services,
+                target_latency_ms=target_latency_ms,
             )
         )
 
