--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -19,6 +19,7 @@
 from laburnumbridge.flows import OutlierDetector
 from laburnumbridge.flows import RecordRecovery
 from laburnumbridge.flows import UpstreamSelector
+from laburnumbridge.flows import WorkEstimator
 from laburnumbridge.flows.peer_datagrams import FLOWS_PER_DATAGRAM
 from laburnumbridge.flows.peer_datagrams import DatagramKind
 from laburnumbridge.flows.peer_datagrams import Envelope
@@ -27,15 +28,20 @@
 from laburnumbridge.flows.peer_datagrams import FlowPresence
 from laburnumbridge.flows.peer_datagrams import LoadReport
 from laburnumbridge.flows.peer_datagrams import SearchStage
+from laburnumbridge.flows.peer_datagrams import WorkReport
 from laburnumbridge.flows.peer_datagrams import decode_envelope
 from laburnumbridge.flows.peer_datagrams import decode_flow_answer
 from laburnumbridge.flows.peer_datagrams import decode_flow_query
 from laburnumbridge.flows.peer_datagrams import decode_load
+from laburnumbridge.flows.peer_datagrams import decode_load_detail
 from laburnumbridge.flows.peer_datagrams import decode_locations
 from laburnumbridge.flows.peer_datagrams import encode_envelope
 from laburnumbridge.flows.peer_datagrams import encode_load
+from laburnumbridge.flows.peer_datagrams import encode_load_detail
 from laburnumbridge.flows.peer_datagrams import encode_locations
+from laburnumbridge.flows.peer_datagrams import requests_detail
 from laburnumbridge.forwarding.admission_control import AdmissionControl
+from laburnumbridge.forwarding.detail_requester import DetailRequester
 from laburnumbridge.forwarding.endpoints import parse_endpoint
 from laburnumbridge.forwarding.flow_inquiries import FlowInquiries
 from laburnumbridge.forwarding.flow_search import FlowSearch
@@ -101,12 +107,16 @@
         )
         self._outlier_detector = OutlierDetector()
         self._was_failing = False
+        self._work = WorkEstimator()
+        self._upstream_started_ms: int | None = None
         self._flows = FlowTracker(
             limit=FLOWS_LIMIT,
             idle_s=DEFAULT_IDLE_S,
             max_age_s=self.settings.flow_max_age_s,
             outlier_detector=self._outlier_detector,
             started_at=self.loop.now(),
+            work_observer=self._work,
+            route_name=self._route_name,
         )
         self._expired_at = self.loop.now()
         self._record_recovery = RecordRecovery()
@@ -114,7 +124,10 @@
         self._entry_address_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
             ttl_s=ENTRY_ADDRESS_TTL_S, limit=FLOWS_LIMIT
         )
-        self._selector = UpstreamSelector(seed=hash64(self.settings.process.encode()))
+        self._selector = UpstreamSelector(
+            seed=hash64(self.settings.process.encode()),
+            failure_domain=self.settings.failure_domain,
+        )
         self._delivered_by_echo: dict[int, tuple[FlowKey, Envelope]] = {}
         self._next_echo = 1
         self._inquiries = FlowInquiries(process=self, presence=self._presence)
@@ -125,6 +138,7 @@
             reset=partial(self._reset, reason="not_found"),
         )
         self._reporter = LoadReporter(port=self.peers, peer_port=self.settings.peer_port)
+        self._detail_requester = DetailRequester(port=self.peers, peer_port=self.settings.peer_port)
         self._was_listed = False
         self._upstream = UpstreamWatch(
             loop=self.loop,
@@ -144,13 +158,14 @@
             flows=self._flows,
             selector=self._selector,
             outlier_detector=self._outlier_detector,
-            expected_work_s=lambda _flow: self._outlier_detector.baseline_s or None,
+            expected_work_s=self.expected_work_s,
             slots=lambda: self._slots,
             is_available=lambda: self._is_available,
+            expected_s=self._expected_answer_s,
             is_evacuated=lambda: self._is_evacuated,
             warm_up=self._warm_up,
             admit=self._admit,
-            forward=self._forward,
+            forward=self._forward_opening,
             reset=self._refuse_opening,
         )
         self._refusal_check = RefusalCheck(
@@ -198,8 +213,14 @@
             self._was_listed = True
         self._flows.slots = 0 if entry is None else entry.slots
         self._warm_up.on_view_change(self.loop.now(), is_evacuated=self._is_evacuated)
+        if entry is not None:
+            self._work.slots = entry.slots
+            if self._upstream_started_ms not in (None, entry.started_ms):
+                self._work.on_restart()
+            self._upstream_started_ms = entry.started_ms
         if update.entries or update.removals:
             self._selector.retain(self.directory.listed_agents)
+            self._detail_requester.retain(self.directory.listed_agents)
         if self._upstream.is_down and not self._has_draining_upstream:
             self._reset_open_flows()
 
@@ -248,6 +269,17 @@
         entry = self._own_entry
         return DEFAULT_SLOTS if entry is None else entry.slots
 
+    def expected_work_s(self, flow: FlowKey) -> float | None:
+        """Return the expected work of a request of ``flow`` at this upstream, in seconds.
+
+        It is None until the upstream has answered a request.
+        """
+        return self._work.expected_s(self._route_name(flow))
+
+    def _route_name(self, flow: FlowKey) -> str:
+        route = self.directory.route(flow)
+        return "" if route is None else route.name
+
     # Packets from balancers and agents.
 
     def on_peer_datagram(self, datagram: bytes, sender: Endpoint) -> None:
@@ -260,8 +292,10 @@
             elif kind == DatagramKind.LOAD:
                 self._selector.on_load_report(sender[0], decode_load(datagram), now)
                 self._inquiries.on_load_report(sender[0], now)
+            elif kind == DatagramKind.LOAD_DETAIL:
+                self._selector.on_load_report(sender[0], decode_load_detail(datagram), now)
             elif kind == DatagramKind.PROBE:
-                self.peers.send(encode_load(self._load_report), sender)
+                self._on_probe(datagram, sender, now)
             elif kind == DatagramKind.RECORDS:
                 located = decode_locations(datagram)
                 self._record_recovery.on_reply(sender[0])
@@ -281,6 +315,13 @@
         except MalformedPacketError as error:
             self.drop(error.reason, peer=sender[0], size=error.size)
 
+    def _on_probe(self, datagram: bytes, sender: Endpoint, now: float) -> None:
+        if requests_detail(datagram):
+            self._reporter.on_detail_request(sender[0], now)
+            self.peers.send(encode_load_detail(self._load_report), sender)
+        else:
+            self.peers.send(encode_load(self._load_report), sender)
+
     def _on_envelope(self, envelope: Envelope, sender: Endpoint, now: float) -> None:
         packet = self.packet_codec.decode_from_client(envelope.raw)
         self._reporter.on_packet(sender[0], now)
@@ -348,6 +389,10 @@
             presence = FlowPresence.ABSENT
         return FlowAnswer(flow=flow, presence=presence, agent=agent)
 
+    def _forward_opening(self, envelope: Envelope, agent: str, stage: SearchStage) -> None:
+        self._detail_requester.on_sent(agent, self.loop.now())
+        self._forward(envelope, agent, stage)
+
     def _forward(self, envelope: Envelope, agent: str, stage: SearchStage) -> None:
         forwarded = replace(envelope, hops=min(envelope.hops + 1, 255), stage=stage)
         self.peers.send(encode_envelope(forwarded), (agent, self.settings.peer_port))
@@ -411,6 +456,7 @@
         elif was_open_here:
             # The flow was open here and its upstream has lost it: no other upstream can hold it.
             self._warm_up.on_restart(now)
+            self._work.on_restart()
             if not packet.is_reset:
                 self._reset(packet.flow, packet.acknowledged, "lost_by_upstream")
         else:
@@ -431,6 +477,7 @@
         now = self.loop.now()
         self._request_records(now)
         self._admission.upkeep(now)
+        self.report_unevenness(self._selector)
         for envelope in self._upstream.take_unanswered(now):
             packet = self.packet_codec.decode_from_client(envelope.raw)
             self._admission.hand_over(packet, envelope, "unanswered", now)
@@ -451,6 +498,7 @@
 
     def _on_upstream_down(self) -> None:
         """Reset all open flows of the upstream that has ended, unless it is only draining."""
+        self._work.on_restart()
         self.log.write(
             Event.UPSTREAM_DOWN,
             outcome="draining" if self._has_draining_upstream else None,
@@ -465,7 +513,7 @@
             record = self._flows.get(flow)
             if record is not None:
                 self._reset(flow, record.client_acknowledged, "upstream_down")
-            self._flows.forget(flow)
+            self._flows.forget(flow, self.loop.now())
 
     def _expire(self) -> None:
         now = self.loop.now()
@@ -489,6 +537,24 @@
         for seconds in self._flows.answer_seconds:
             self.metrics.observe("upstream_answer_seconds", seconds)
         self._flows.answer_seconds.clear()
+        self._report_work(now)
+
+    def _report_work(self, now: float) -> None:
+        self.metrics.gauge("expected_work_seconds", self._work.expected_s() or 0.0)
+        self.metrics.gauge("expected_wait_seconds", self._expected_wait_s(now))
+        self.metrics.gauge("flow_demand", self._work.demand(now))
+        for ratio in self._work.error_ratios:
+            self.metrics.observe("work_error_ratio", ratio)
+        self._work.error_ratios.clear()
+
+    def _expected_wait_s(self, now: float) -> float:
+        # Flows that are about to send their first request count as busy and aren't complete yet.
+        due = max(self._flows.busy - self._work.requests, 0) + self._admission.held
+        return self._work.expected_wait_s(now, due=due)
+
+    def _expected_answer_s(self, now: float) -> float | None:
+        work_s = self._work.expected_s()
+        return None if work_s is None else self._expected_wait_s(now) + work_s
 
     def _send_records(self, now: float) -> None:
         """Announce open flows to their directory nodes.
@@ -539,13 +605,20 @@
 
     @property
     def _load_report(self) -> LoadReport:
+        now = self.loop.now()
         return LoadReport(
             busy=self._flows.busy,
             open_flows=self._flows.open_flows,
             slots=self._slots,
-            is_available=self._is_available and self._warm_up.has_room(self.loop.now()),
-            is_failing=self._outlier_detector.is_failing(self.loop.now()),
+            is_available=self._is_available and self._warm_up.has_room(now),
+            is_failing=self._outlier_detector.is_failing(now),
             arriving=self._flows.arriving,
+            work=WorkReport(
+                wait_s=self._expected_wait_s(now),
+                work_s=self._work.expected_s(),
+                demand=self._work.demand(now),
+                samples=self._work.samples,
+            ),
         )
 
     def _report_failing_change(self, now: float) -> None:
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -18,8 +18,10 @@
 from laburnumbridge.flows.peer_datagrams import Envelope
 from laburnumbridge.flows.peer_datagrams import SearchStage
 from laburnumbridge.flows.peer_datagrams import decode_load
+from laburnumbridge.flows.peer_datagrams import decode_load_detail
 from laburnumbridge.flows.peer_datagrams import decode_locations
 from laburnumbridge.flows.peer_datagrams import encode_envelope
+from laburnumbridge.forwarding.detail_requester import DetailRequester
 from laburnumbridge.forwarding.endpoints import parse_endpoint
 from laburnumbridge.forwarding.forwarding_process import STOP_MARGIN_S
 from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
@@ -27,8 +29,11 @@
 from laburnumbridge.forwarding.service_directory import service_tag
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from laburnumbridge.catalog import CatalogUpdate
     from laburnumbridge.catalog import Route
+    from laburnumbridge.flows import Candidate
     from laburnumbridge.flows import FlowKey
     from laburnumbridge.flows import FlowPacket
     from laburnumbridge.forwarding.endpoints import Endpoint
@@ -78,7 +83,11 @@
         self._packets = self.network.datagram_port(
             parse_endpoint(self.settings.packet_endpoint), self._on_client_datagram
         )
-        self._selector = UpstreamSelector(seed=hash64(self.settings.process.encode()))
+        self._selector = UpstreamSelector(
+            seed=hash64(self.settings.process.encode()),
+            failure_domain=self.settings.failure_domain,
+        )
+        self._detail_requester = DetailRequester(port=self.peers, peer_port=self.settings.peer_port)
         self._agent_by_flow: ExpiringMap[FlowKey, str] = ExpiringMap(
             ttl_s=LOCATION_TTL_S, limit=FLOWS_LIMIT
         )
@@ -113,6 +122,7 @@
         """Drop the load of removed agents; with the first view, dispatch the buffered packets."""
         if update.entries or update.removals:
             self._selector.retain(self.directory.listed_agents)
+            self._detail_requester.retain(self.directory.listed_agents)
         if not self._had_view and self.view.catalog.is_ready:
             self._had_view = True
             self.metrics.count("packets_early_total", amount=len(self._early_packets))
@@ -126,6 +136,8 @@
         try:
             if kind == DatagramKind.LOAD:
                 self._selector.on_load_report(sender[0], decode_load(datagram), now)
+            elif kind == DatagramKind.LOAD_DETAIL:
+                self._selector.on_load_report(sender[0], decode_load_detail(datagram), now)
             elif kind == DatagramKind.LOCATED:
                 located = decode_locations(datagram)
                 for flow in located.flows:
@@ -174,17 +186,21 @@
         if located_agent is not None:
             # A copy of an opening packet. A responsive agent has received the first one.
             if self._selector.is_responsive(located_agent, now):
+                tag = self._located_tag(route, tag, located_agent)
                 self._send(packet, located_agent, tag, SearchStage.DIRECT, now)
                 return
             self._selector.avoid(located_agent, now + AVOID_S)
             excluded = (located_agent,)
         candidates = self.directory.candidates(tag, now)
-        agent = self._selector.choose(
-            candidates,
-            is_long=route.is_retryable and not route.is_transfer,
-            now=now,
-            excluded=excluded,
-        )
+        is_long = route.is_retryable and not route.is_transfer
+        overflow = self._overflow(route, tag, candidates, is_long=is_long, excluded=excluded)
+        agent: str | None
+        if overflow is not None:
+            agent, tag = overflow
+        else:
+            agent = self._selector.choose(
+                candidates, is_long=is_long, now=now, excluded=excluded, service_tag=tag
+            )
         agent = agent or located_agent
         if agent is None:
             is_evacuated = self.directory.is_evacuated(tag)
@@ -192,6 +208,9 @@
             return
         self._agent_by_flow.put(packet.flow, agent, now)
         self.metrics.count("flows_placed_total")
+        self.metrics.count(
+            "placements_total", "uneven" if self._selector.is_uneven(tag) else "even"
+        )
         self.log.write(
             Event.FLOW_PLACED,
             outcome="copy" if located_agent else "first",
@@ -204,6 +223,51 @@
         )
         self._send(packet, agent, tag, SearchStage.DIRECT, now)
 
+    def _overflow(
+        self,
+        route: Route,
+        tag: int,
+        candidates: Collection[Candidate],
+        *,
+        is_long: bool,
+        excluded: Collection[str],
+    ) -> tuple[str, int] | None:
+        """Return an agent with a free slot and the tag of its service, another one of the route.
+
+        It is None unless all upstreams of the selected service are known to be full. Only routes
+        with a target latency and services with uneven upstreams overflow, so that the weights hold
+        strictly elsewhere.
+        """
+        if len(route.shares) == 1:
+            return None
+        if not route.target_latency_ms and not self._selector.is_uneven(tag):
+            return None
+        now = self.loop.now()
+        if not self._selector.is_full(candidates, now):
+            return None
+        for share in route.shares:
+            other_tag = service_tag(share.service)
+            if not share.weight or other_tag == tag:
+                continue
+            agent = self._selector.choose_idle(
+                self.directory.candidates(other_tag, now),
+                now=now,
+                is_long=is_long,
+                excluded=excluded,
+                service_tag=other_tag,
+            )
+            if agent is not None:
+                self.metrics.count("flows_overflowed_total")
+                return agent, other_tag
+        return None
+
+    def _located_tag(self, route: Route, tag: int, agent: str) -> int:
+        """Return the tag of the service that the first copy of an opening packet was sent with."""
+        if len(route.shares) == 1 or self.directory.serves(agent, tag):
+            return tag
+        others = (service_tag(share.service) for share in route.shares)
+        return next((other for other in others if self.directory.serves(agent, other)), tag)
+
     def _forward(self, packet: FlowPacket, route: Route, now: float) -> None:
         tag = self._service_tag(route, packet.flow)
         agent = self._agent_by_flow.touch(packet.flow, now)
@@ -253,6 +317,7 @@
     ) -> None:
         self.metrics.count("packets_forwarded_total")
         self._selector.on_sent(agent, now)
+        self._detail_requester.on_sent(agent, now)
         envelope = Envelope(
             stage=stage,
             hops=0,
@@ -289,6 +354,7 @@
     def _upkeep(self) -> None:
         now = self.loop.now()
         self._update_isolation(now)
+        self.report_unevenness(self._selector)
         for packet in self._early_packets.expire(now):
             self._dispatch(packet, now)
         self._agent_by_flow.expire(now)
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -148,6 +148,15 @@
         """Return when the warm-up of the upstream with this entry ends; 0 if it isn't known."""
         return self._warm_up_ends_at_by_name.get(name, 0.0)
 
+    def serves(self, agent: str, tag: int) -> bool:
+        """Return whether an upstream of the service is listed at the address of ``agent``."""
+        return any(entry.address == agent for entry in self._entries_by_tag.get(tag, ()))
+
+    def service_name(self, tag: int) -> str:
+        """Return the name of a service that has upstreams, or an empty string."""
+        entries = self._entries_by_tag.get(tag)
+        return entries[0].service if entries else ""
+
     def search_order(self, tag: int) -> SearchOrder:
         """Return the order of search for flows of a route whose service now has the tag."""
         return SearchOrder(
