--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -52,6 +52,9 @@
 """A peer that lags gets a snapshot once in this time at most; with 1,300 routes it has 100 KB."""
 FIRST_VIEW_TIMEOUT_S = 0.5
 """A process without a view asks one peer at a time for it, and another one after this time."""
+FIRST_VIEW_MAX_WAIT_S = 1.0
+"""A process that needs a view reads the platform if none has arrived for this long after a peer has
+offered one. The packets of clients are kept for as long."""
 FIRST_VIEW_SPREAD_S = 0.2
 """After a start of the whole fleet, which a seed without a view shows, processes that work without
 one ask for it spread over this time: seeds on slow links serve balancers first in this way."""
@@ -105,7 +108,8 @@
         self._log = log
         self._metrics = metrics
         self._on_change = on_change
-        self._links: set[_PeerLink] = set()
+        # Keeps the order of connecting, so that simulated runs repeat exactly.
+        self._links: dict[_PeerLink, None] = {}
         self._retry_at_by_seed: dict[str, float] = {}
         self._refused_since_by_seed: dict[str, float] = {}
         self._election = ReaderElection(
@@ -173,7 +177,9 @@
             self._propagate(applied, None)
         self._connect_seeds(now)
         self._ask_for_first_view(now)
-        should_read = self._election.should_read(is_seed=self._is_seed, now=now)
+        should_read = self._election.should_read(
+            is_seed=self._is_seed, now=now
+        ) or self._is_first_view_late(now)
         if should_read != self._reader.is_running:
             event = Event.READING_STARTED if should_read else Event.READING_STOPPED
             self._log.write(
@@ -213,7 +219,7 @@
         self._add(link)
 
     def _add(self, link: _PeerLink) -> None:
-        self._links.add(link)
+        self._links[link] = None
         link.stream.on_data = lambda data: self._on_data(link, data)
         link.stream.on_end = lambda end: self._on_end(link, end)
 
@@ -238,7 +244,7 @@
     def _drop_link(self, link: _PeerLink, reason: str) -> None:
         if link not in self._links:
             return
-        self._links.discard(link)
+        del self._links[link]
         link.stream.close()
         if link.is_connected:
             self._log.write(Event.PEER_LOST, peer=link.endpoint, reason=reason)
@@ -312,6 +318,13 @@
         has_view = self.catalog.configuration is not None
         return has_view and link.accepts_compressed and link.configuration_version == 0
 
+    def _is_first_view_late(self, now: float) -> bool:
+        """Return whether a process that needs a view should wait for its peers no longer."""
+        if self.catalog.configuration is not None or self._settings.upstream is not None:
+            return False
+        offered_at = self._view_offered_at
+        return offered_at is not None and now - offered_at > FIRST_VIEW_MAX_WAIT_S
+
     def _ask_for_first_view(self, now: float) -> None:
         """Ask a peer that has a view, unless the answer of another one is under way."""
         if self.catalog.configuration is not None or self._view_offered_at is None:
--- a/libs/forwarding/tests/test_first_view.py
+++ b/libs/forwarding/tests/test_first_view.py
@@ -10,6 +10,7 @@
 from laburnumbridge.core import Event
 from laburnumbridge.forwarding.event_loop import EventLoop
 from laburnumbridge.forwarding.process_start import process_started_at
+from laburnumbridge.forwarding.view_sharing import FIRST_VIEW_MAX_WAIT_S
 from laburnumbridge.forwarding.view_sharing import FIRST_VIEW_TIMEOUT_S
 from laburnumbridge.forwarding.view_sharing import REFUSED_RETRY_INTERVAL_S
 from laburnumbridge.standins.flows.process_settings import CONTROL_PORT
@@ -155,6 +156,22 @@
         fleet.simulation.run_for(START_WAIT_S + FIRST_VIEW_TIMEOUT_S)
         assert agent.view.catalog.is_ready
 
+    def test_a_balancer_reads_the_platform_when_the_view_of_its_peers_doesnt_arrive(
+        self, fleet, seeds_with_view
+    ):
+        # Guards against a balancer that has no view for 2.3 s, because seeds on links that carry
+        # hardly anything have confirmed theirs.
+        fleet.platform.is_unresponsive = False
+        for seed in seeds_with_view:
+            fleet.simulation.set_rate(seed, 10_000.0)
+        address = fleet.start_balancer("10.1.0.9")
+        fleet.simulation.run_for(FIRST_VIEW_MAX_WAIT_S)
+        assert not fleet.process_by_address[address].view.catalog.is_ready
+        assert fleet.platform.calls.get(address, 0) == 0
+        # The seeds' answers would take 1.4 s.
+        fleet.simulation.run_for(0.25)
+        assert fleet.process_by_address[address].view.catalog.is_ready
+
     def test_a_seed_that_starts_later_is_connected_at_once(self, fleet):
         # Guards against a start of all processes in which most wait 0.2 s for the seeds.
         fleet.start_process(fleet.agents[0])
