--- a/libs/flows/src/laburnumbridge/flows/flow_inquiry.py
+++ b/libs/flows/src/laburnumbridge/flows/flow_inquiry.py
@@ -13,6 +13,8 @@
 
 FIRST_AGENTS = 3
 """Asked at first: the two directory nodes, and one more that may be a node in a newer view."""
+FIRST_TIMEOUT_S = 0.02
+"""Both directory nodes may be stopped; answers that come later count as well."""
 AGENTS_AT_ONCE = 256
 """Queries sent at a time; with their headers they have 11 KB, and the answers 12 KB."""
 ANSWER_TIMEOUT_S = 0.05
@@ -116,10 +118,10 @@
         if now < self.next_at and self._asked - self._presence_by_agent.keys() - self._unaware:
             return None
         if self._waiting and self._named is None:
-            count = FIRST_AGENTS if self._is_first_wave else AGENTS_AT_ONCE
-            self._is_first_wave = False
+            is_first, self._is_first_wave = self._is_first_wave, False
+            count = FIRST_AGENTS if is_first else AGENTS_AT_ONCE
             agents, self._waiting = self._waiting[:count], self._waiting[count:]
-            return self._ask(agents, now)
+            return self._ask(agents, now, FIRST_TIMEOUT_S if is_first else ANSWER_TIMEOUT_S)
         known = self._presence_by_agent.keys() | self._unaware
         silent = tuple(agent for agent in self._agents if agent not in known)
         missing = silent if self._named is None else (self._named,)
@@ -151,8 +153,8 @@
             del self._presence_by_agent[agent]
         return self._ask([*missing, *uncertain], now)
 
-    def _ask(self, agents: Sequence[str], now: float) -> Ask:
+    def _ask(self, agents: Sequence[str], now: float, timeout_s: float = ANSWER_TIMEOUT_S) -> Ask:
         self._asked.update(agents)
-        self.next_at = now + ANSWER_TIMEOUT_S
+        self.next_at = now + timeout_s
         self._repeat_at = now + REPEAT_INTERVAL_S
         return Ask(agents=tuple(agents))
