--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -97,7 +97,7 @@
         )
         self.platform.start()
         self.balancers = [f"10.1.0.{number}" for number in range(1, balancers + 1)]
-        self.agents = [f"10.2.0.{number}" for number in range(1, agents + 1)]
+        self.agents = [f"10.2.{number >> 8}.{number & 255}" for number in range(1, agents + 1)]
         self.second_service_agents = [
             f"10.3.0.{number}" for number in range(1, second_service_agents + 1)
         ]
