Don't take chance for a difference between upstreams

Cause: with few answers or few reports equal upstreams appear to differ by 1.8. In the load test below with 34 equal upstreams, processes entered the state after 0.5 s, and later by the slowdown, which left a band of 1.5 in 2 % of the answers by chance.

Change: the state is entered only if the variance of the estimates also exceeds what equal upstreams reach in one of 30,000 cases for their answers. A slowdown within a factor of 2 counts as 1. After 50 successive quick answers the old means are forgotten, which the wider band needs.

--- a/libs/flows/src/laburnumbridge/flows/work_estimator.py
+++ b/libs/flows/src/laburnumbridge/flows/work_estimator.py
@@ -18,9 +18,10 @@
 MAX_RATIO = 4.0
 """Limit of one answer's ratio to the mean: a request that costs seven times as much as usual would
 otherwise move the slowdown by 0.6."""
-SLOWDOWN_BY_CHANCE = 1.5
-"""A slowdown below this factor counts as 1. Costs that vary as much as their mean move the average
-of the last ten answers by a quarter, and 34 equal upstreams must not appear to differ."""
+SLOWDOWN_BY_CHANCE = 2.0
+"""A slowdown below this factor counts as 1. Where 3 % of the requests cost seven times as much as
+usual, chance alone exceeds a factor of 1.5 with 2 % of the answers and this one with 0.001 %; equal
+upstreams must not appear to differ."""
 SETTLED_ANSWERS = 8
 """Answers after which a mean is used as a reference; the number kept after a restart."""
 QUICK_SHARE = 0.25
@@ -200,9 +201,12 @@
 
     def on_restart(self) -> None:
         """Adapt quickly again, since the upstream has started anew."""
+        self._relearn(SETTLED_ANSWERS)
+
+    def _relearn(self, samples: int) -> None:
         self._slowdown = 1.0
         for work in (self._total, *self._by_route.values()):
-            work.limit_samples(SETTLED_ANSWERS)
+            work.limit_samples(samples)
 
     def _learn(self, route: str, seconds: float) -> None:
         work = self._route(route)
@@ -214,7 +218,7 @@
                 if self._quick_answers < QUICK_RUN:
                     return
                 if self._quick_answers == QUICK_RUN:
-                    self.on_restart()
+                    self._relearn(1)  # the means were wrong
             else:
                 self._quick_answers = 0
             ratio = seconds / max(reference.mean_s, 1e-6)
--- a/libs/flows/src/laburnumbridge/flows/work_placement.py
+++ b/libs/flows/src/laburnumbridge/flows/work_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -20,9 +21,17 @@
 MIN_SAMPLES = 8
 MIN_UPSTREAMS = 3
 PRIOR_SAMPLES = 8
-"""Weight of the fleet's mean in each estimate, in answers. Chance makes 3 % of fleets of 34 equal
-upstreams appear uneven after 8 answers each, whose costs vary by their mean; with half the weight
-it is 29 %."""
+"""Weight of the fleet's mean in each estimate, in answers, which halves the errors of chance after
+the first 8 answers."""
+COST_VARIANCE = 1.4
+"""Variance of the work of requests in relation to the square of their mean, where 3 % cost seven
+times as much as usual. With 1.0, speeds of 0.7 and 1.7 at 34 upstreams show after 8 to 10 answers
+in place of 12 to 16, and one of 1,000 fleets of equal upstreams appears uneven after 32."""
+SETTLED_SAMPLES = 100
+"""Answers that an estimate is worth at most: its weights are at least 0.02."""
+CHANCE_DEVIATIONS = 4.0
+"""Differences of equal upstreams reach this in one of 30,000 cases. Each process looks at them ten
+times a second, and with few reports or answers chance alone gives a ratio of 1.8."""
 STALE_WORK_S = 1.0
 """Age from which the wait and the demand in a report are disregarded."""
 FORGET_WAIT_S = 0.3
@@ -88,22 +97,23 @@
     ) -> UnevennessChange | None:
         """Compute means and the unevenness again; return what has changed of the latter."""
         work_by_agent = self._estimates(candidates, received_by_agent, now)
-        settled = sorted(
-            work_s for work_s, samples in work_by_agent.values() if samples >= MIN_SAMPLES
-        )
+        settled = sorted(each for each in work_by_agent.values() if each[1] >= MIN_SAMPLES)
         was_uneven = self.is_uneven
         slowest_s = fastest_s = 0.0
         if len(settled) >= MIN_UPSTREAMS:
             last = len(settled) - 1
-            slowest_s = settled[round(0.9 * last)]
-            fastest_s = settled[round(0.1 * last)]
-        limit = EVEN_RATIO if was_uneven else UNEVEN_RATIO
-        self.is_uneven = slowest_s > 0.0 and slowest_s >= limit * fastest_s
+            slowest_s = settled[round(0.9 * last)][0]
+            fastest_s = settled[round(0.1 * last)][0]
+        if was_uneven:
+            self.is_uneven = slowest_s > 0.0 and slowest_s >= EVEN_RATIO * fastest_s
+        else:
+            exceeds_ratio = slowest_s > 0.0 and slowest_s >= UNEVEN_RATIO * fastest_s
+            self.is_uneven = exceeds_ratio and not _may_be_chance(settled)
         if self.is_uneven:
             self._refresh_loads(candidates, received_by_agent, now)
             self._terms_by_agent = {
                 candidate.agent: self._terms(
-                    candidate, work_by_agent.get(candidate.agent, (self._mean_work_s, 0))[0]
+                    candidate, self._with_prior(*work_by_agent.get(candidate.agent, (0.0, 0)))
                 )
                 for candidate in candidates
             }
@@ -128,12 +138,12 @@
         samples = sum(n for _, n in reported.values())
         if not samples:
             return {}
-        mean_s = sum(work_s * n for work_s, n in reported.values()) / samples
-        self._mean_work_s = mean_s
-        return {
-            agent: ((work_s * n + mean_s * PRIOR_SAMPLES) / (n + PRIOR_SAMPLES), n)
-            for agent, (work_s, n) in reported.items()
-        }
+        self._mean_work_s = sum(work_s * n for work_s, n in reported.values()) / samples
+        return reported
+
+    def _with_prior(self, work_s: float, samples: int) -> float:
+        total_s = work_s * samples + self._mean_work_s * PRIOR_SAMPLES
+        return total_s / (samples + PRIOR_SAMPLES)
 
     def _refresh_loads(
         self,
@@ -219,3 +229,18 @@
                 return self._mean_demand
             return received.report.open_flows * terms.flow_demand
         return received.work.demand
+
+
+def _may_be_chance(estimates: list[tuple[float, int]]) -> bool:
+    """Return whether equal upstreams could give these estimates of work, with their samples.
+
+    The variance of their logarithms is compared with a quantile of the chi-squared distribution, in
+    the approximation of Wilson and Hilferty.
+    """
+    logs = [math.log(work_s) for work_s, _ in estimates]
+    freedom = len(logs) - 1
+    mean = sum(logs) / len(logs)
+    variance = sum((each - mean) ** 2 for each in logs) / freedom
+    by_chance = COST_VARIANCE * sum(1 / min(n, SETTLED_SAMPLES) for _, n in estimates) / len(logs)
+    width = 2 / (9 * freedom)
+    return variance <= by_chance * (1 - width + CHANCE_DEVIATIONS * math.sqrt(width)) ** 3
--- a/libs/flows/tests/test_work_placement.py
+++ b/libs/flows/tests/test_work_placement.py
@@ -1,15 +1,21 @@
 from __future__ import annotations
 
+import random
 from collections import Counter
 
 import pytest
 
 from laburnumbridge.flows import Candidate
+from laburnumbridge.flows import FlowKey
 from laburnumbridge.flows import UpstreamSelector
+from laburnumbridge.flows import WorkEstimator
+from laburnumbridge.flows import WorkPlacement
 from laburnumbridge.flows.peer_datagrams import LoadReport
 from laburnumbridge.flows.peer_datagrams import WorkReport
+from laburnumbridge.flows.received_report import ReceivedReport
 
 AGENTS = [f"10.0.0.{number}" for number in range(12)]
+FLOW = FlowKey(bytes(12))
 SLOW_S = 0.04
 FAST_S = 0.015
 
@@ -77,6 +83,29 @@
         expected = [plain.choose(CANDIDATES, is_long=is_long, now=0.0) for _ in range(30)]
         assert self.choices(work_by_agent, samples, is_long=is_long) == (expected, False)
 
+    @pytest.mark.parametrize("upstreams", [3, 9, 34])
+    def test_equal_upstreams_do_not_appear_uneven_by_chance(self, upstreams):
+        # Guards against placement by the errors of estimates, from the first answers on: 3 % of the
+        # requests cost seven times as much as usual.
+        source = random.Random(1)
+        fleet = [candidate(f"10.1.0.{number}") for number in range(upstreams)]
+        for _ in range(60):
+            estimators = {each.agent: WorkEstimator(slots=1) for each in fleet}
+            placement = WorkPlacement(failure_domain="a")
+            for step in range(1, 8):
+                received = {}
+                for agent, estimator in estimators.items():
+                    for number in range(8):
+                        cost_s = 0.02 * source.gammavariate(3, 1 / 3)
+                        cost_s *= 7 if source.random() < 0.03 else 1
+                        estimator.on_request_complete(FLOW, "read", 10 * number)
+                        estimator.on_answer_begun(FLOW, 10 * number + cost_s)
+                    learned = report(estimator.expected_s(), samples=estimator.samples)
+                    received[agent] = ReceivedReport(
+                        report=learned, reported_at=step, work=learned.work, work_reported_at=step
+                    )
+                assert placement.refresh(fleet, received, step) is None
+
     def test_the_state_is_left_below_a_lower_ratio_and_changes_are_reported_once(self):
         # Guards against a placement that alternates, and against a log line with each choice.
         selector = uneven_selector()
