Check for other copies before all refusals of held openings

Openings that are refused after a wait because of the client's share or an evacuation were reset without the question to other agents that the refusals for time and a full queue have. Tests of libs/forwarding pass.

--- a/libs/forwarding/src/laburnumbridge/forwarding/refusal_check.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/refusal_check.py
@@ -21,7 +21,7 @@
 TRIED_TTL_S = 3.0
 """Longer than the copies of an opening packet are held or handed over."""
 TRIED_LIMIT = 20_000
-HELD_REASONS = ("queue_timeout", "queue_full")
+HELD_REASONS = ("queue_timeout", "queue_full", "client_share", "evacuated")
 """Reasons to refuse packets that were held; other copies may have been sent meanwhile."""
 
 
