--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -54,8 +54,7 @@
     """Sockets, view, readiness, settings and signals of one process.
 
     Build it with settings that were loaded from ``settings_path``, call ``start`` and then
-    ``run``, which returns when the stop that a signal begins is complete. ``started_at`` is the
-    start of the process on the loop's clock; without it, that is now.
+    ``run``, which returns when the stop that a signal begins is complete.
     """
 
     def __init__(
@@ -68,10 +67,9 @@
         loop: Loop,
         network: Network,
         log: DecisionLog,
-        started_at: float | None = None,
     ) -> None:
         self.loop = loop
-        self._started_at = loop.now() if started_at is None else started_at
+        self._started_at = loop.now()
         self._had_first_view = False
         self.network = network
         self.settings = settings
--- a/libs/forwarding/src/laburnumbridge/forwarding/run_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/run_process.py
@@ -10,7 +10,6 @@
 from laburnumbridge.forwarding.errors import UnknownRoleError
 from laburnumbridge.forwarding.event_loop import EventLoop
 from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
-from laburnumbridge.forwarding.process_start import process_started_at
 from laburnumbridge.forwarding.socket_network import SocketNetwork
 
 if TYPE_CHECKING:
@@ -61,7 +60,6 @@
         settings_path=settings_path,
         packet_codec=packet_codec,
         platform_codec=platform_codec,
-        started_at=process_started_at(),
     )
     try:
         process.start()
