Bound the search after a loss of power, and mend what reviews found

Reviews of the merged parts found, each shown by a script or a test: - After a loss of power each packet of a flow that nobody holds asked all agents twice, and late answers made it ask again: 359,000 queries for 1,200 flows at 44 agents with slow processors. At most 32 inquiries run at a time, a packet walks on without a second inquiry, and only silent agents are asked again. - A flow from a port that its client had used 4 s before stayed recorded as closed, was denied after a pause and reset. The upstream's answer to its opening begins a new record. - An opening reached an evacuated upstream if its agent still tracked the flow. It is dropped on an open flow, and is a new one on a closed flow (test_evacuation.py fails without that). - A refused copy was reset although another had opened the flow at an agent that nobody had told of, or at this agent since. Agents announce flows that a copy or a handover has opened at once. - A process without a view asked for it again while it was still arriving on a slow link. - Warm-ups that a process of an earlier version had left out stayed missing; a new limit forgot the openings admitted before; an older removal ended the warm-up of an entry in the same update.

A process without a configuration repeats a listing now if nothing has arrived after 0.6 s (test_first_view.py fails with 1.5 s). Tests of libs/catalog, libs/flows and libs/forwarding pass.

--- a/libs/catalog/src/laburnumbridge/catalog/catalog.py
+++ b/libs/catalog/src/laburnumbridge/catalog/catalog.py
@@ -301,6 +301,9 @@
             if base is None:
                 self.configuration = update.configuration
                 return update.configuration, None, False
+            if _is_same_with_more(update.configuration, base):
+                self.configuration = update.configuration
+                return update.configuration, None, False
             if update.configuration.version > base.version:
                 self.configuration = update.configuration
                 return None, diff_configurations(base, update.configuration), False
@@ -383,3 +386,9 @@
         for name, removal in list(self._tombstone_by_name.items()):
             if removal.revision <= self.complete_revision:
                 del self._tombstone_by_name[name]
+
+
+def _is_same_with_more(configuration: RoutingConfiguration, known: RoutingConfiguration) -> bool:
+    """Return whether ``known`` lacks what a process of an earlier version has left out."""
+    is_same = configuration.version == known.version
+    return is_same and known.warm_ups is None and configuration.warm_ups is not None
--- a/libs/catalog/src/laburnumbridge/catalog/read_plan.py
+++ b/libs/catalog/src/laburnumbridge/catalog/read_plan.py
@@ -24,6 +24,10 @@
 
 LISTING_TIMEOUT_S = 1.5
 """The platform answers a listing in 4 ms, or in 0.3 s when it is 75 times slower than that."""
+FIRST_ANSWER_TIMEOUT_S = 0.6
+"""A process without a configuration, which serves nothing, repeats a listing of which nothing has
+arrived after this time: twice what a slow platform takes. With the whole time of a listing, a fleet
+that starts while the platform is silent learns 1.5 s late that it answers again."""
 WATCH_WAIT_MS = 1_200
 """How long a watch waits for a change. This bounds the age of the view while its reader is healthy,
 at one call in this time when nothing changes."""
@@ -37,13 +41,15 @@
 class ReadCall(msgspec.Struct, frozen=True, kw_only=True):
     """The next call: a page of ``listing``, or a watch if ``listing`` is None.
 
-    ``after_key`` is None for the first page and for a watch.
+    ``after_key`` is None for the first page and for a watch. ``timeout_s`` is the time for the
+    whole answer, and ``first_answer_timeout_s`` that for its first bytes, None for no other limit.
     """
 
     listing: Listing | None
     after_key: str | None
     after_revision: int
     timeout_s: float
+    first_answer_timeout_s: float | None = None
 
 
 class ReadPlan:
@@ -86,6 +92,9 @@
                 after_key=self._after_key,
                 after_revision=0,
                 timeout_s=LISTING_TIMEOUT_S,
+                first_answer_timeout_s=(
+                    FIRST_ANSWER_TIMEOUT_S if self._catalog.configuration is None else None
+                ),
             )
         return ReadCall(
             listing=None,
--- a/libs/catalog/src/laburnumbridge/catalog/records.py
+++ b/libs/catalog/src/laburnumbridge/catalog/records.py
@@ -82,14 +82,15 @@
     """All routes at one version; a flow may be idle for ``idle_timeout_ms``.
 
     ``services`` are those that the operator has configured, also without a route. ``warm_ups`` are
-    of the services whose upstreams are cold after their start.
+    of the services whose upstreams are cold after their start. None means that a process of a
+    version without them has passed the configuration on, and left out what it doesn't know.
     """
 
     version: int
     routes: tuple[Route, ...]
     idle_timeout_ms: int
     services: tuple[str, ...] = ()
-    warm_ups: tuple[ServiceWarmUp, ...] = ()
+    warm_ups: tuple[ServiceWarmUp, ...] | None = None
 
 
 class ConfigurationChange(msgspec.Struct, frozen=True, kw_only=True):
--- a/libs/catalog/tests/test_catalog.py
+++ b/libs/catalog/tests/test_catalog.py
@@ -296,3 +296,16 @@
         # Guards against a process that lost a change and waits for the next one.
         assert catalog.merge(update(configuration_version=9), 0.0).lacks_configuration
         assert not catalog.merge(update(configuration_version=7), 0.0).lacks_configuration
+
+
+class TestEarlierVersions:
+    def test_what_an_earlier_version_left_out_is_completed(self, catalog):
+        # Guards against warm-ups that are missing until the next version of the configuration,
+        # since a process of an earlier version has passed this one on.
+        known = configuration(8, route("a"))
+        whole = replace(known, warm_ups=())
+        catalog.merge(update(revision=at(3), configuration=known), 1.0)
+        changes = catalog.merge(own_reading(3, configuration=whole), 1.1)
+        assert changes.configuration == whole
+        catalog.merge(update(revision=at(3), configuration=known), 1.2)
+        assert catalog.configuration == whole
--- a/libs/flows/src/laburnumbridge/flows/flow_inquiry.py
+++ b/libs/flows/src/laburnumbridge/flows/flow_inquiry.py
@@ -84,6 +84,7 @@
     def on_answer(self, agent: str, presence: FlowPresence, recorded_agent: str) -> None:
         """Note the answer of ``agent``; ``recorded_agent`` is where it has a record of the flow."""
         self._presence_by_agent[agent] = presence
+        self._unaware.discard(agent)
         if presence is FlowPresence.OPEN:
             self._holder = agent
         elif presence is FlowPresence.CLOSED:
@@ -101,7 +102,7 @@
 
     def on_unaware(self, agent: str) -> None:
         """Note that ``agent`` runs, but doesn't know queries."""
-        if agent not in self._presence_by_agent:
+        if agent in self._asked and agent not in self._presence_by_agent:
             self._unaware.add(agent)
 
     def step(self, now: float) -> Ask | InquiryResult | None:
@@ -142,15 +143,16 @@
         )
 
     def _repeat(self, missing: tuple[str, ...], now: float) -> Ask | None:
-        """Ask silent agents again, and uncertain ones, which may have seen the flow meanwhile."""
+        """Ask silent agents again.
+
+        Not the uncertain ones, which are all agents after a loss of power: their queries would
+        multiply with the delay of the answers.
+        """
         if now < self._repeat_at:
             self.next_at = self._repeat_at
             return None
         self._repeats_left -= 1
-        uncertain = self._answered_uncertain()
-        for agent in uncertain:
-            del self._presence_by_agent[agent]
-        return self._ask([*missing, *uncertain], now)
+        return self._ask(missing, now)
 
     def _ask(self, agents: Sequence[str], now: float, timeout_s: float = ANSWER_TIMEOUT_S) -> Ask:
         self._asked.update(agents)
--- a/libs/flows/src/laburnumbridge/flows/flow_tracker.py
+++ b/libs/flows/src/laburnumbridge/flows/flow_tracker.py
@@ -155,7 +155,11 @@
 
     def track_opening(self, flow: FlowKey, now: float) -> None:
         """Track an opening packet passed to the upstream; the flow counts as busy from then on."""
-        if flow not in self._by_flow and len(self._by_flow) < self._limit:
+        if flow in self._by_flow:
+            return
+        if len(self._by_flow) >= self._limit:
+            self._gap_at = now
+        else:
             self._by_flow[flow] = TrackedFlow(
                 state=FlowState.HALF_OPEN,
                 opened_at=now,
@@ -250,6 +254,8 @@
         """Track a packet from the upstream; return whether it reveals a flow not tracked before."""
         record = self._by_flow.get(packet.flow)
         if packet.is_opening_answer:
+            if record is not None and record.state is FlowState.CLOSED:
+                self.forget(packet.flow, now)  # the client has opened a new flow from its port
             self.track_opening(packet.flow, now)
             record = self._by_flow.get(packet.flow)
             if record is not None and record.state is FlowState.HALF_OPEN:
@@ -258,6 +264,8 @@
             return False
         discovered = record is None and not packet.is_reset
         if record is None:
+            if not packet.is_reset and len(self._by_flow) >= self._limit:
+                self._gap_at = now
             if packet.is_reset or len(self._by_flow) >= self._limit:
                 return False
             request = RequestTracker(now=now)
--- a/libs/flows/src/laburnumbridge/flows/search_order.py
+++ b/libs/flows/src/laburnumbridge/flows/search_order.py
@@ -69,6 +69,14 @@
         agent = next((node for node in in_turn if is_responsive(node)), in_turn[0])
         return SearchStep(agent=agent, stage=SearchStage.DIRECTORY)
 
+    def first_walk_step(self, flow: FlowKey, *, uses_records: bool) -> SearchStep | None:
+        """Return the first agent of the ranking, which may be the asking one; None without any."""
+        agent = self._service_agents.first(flow)
+        if agent is None:
+            return self._other_service_step(self._agents.first(flow))
+        stage = SearchStage.RANKED if uses_records else SearchStage.RANKED_NO_RECORDS
+        return SearchStep(agent=agent, stage=stage)
+
     def next_step(self, flow: FlowKey, *, agent: str, stage: SearchStage) -> SearchStep | None:
         """Return the step after ``agent``, which got the packet in ``stage`` and hasn't the flow.
 
--- a/libs/flows/tests/test_warm_up_limiter.py
+++ b/libs/flows/tests/test_warm_up_limiter.py
@@ -42,3 +42,13 @@
                 admitted.append(now)
         for start in admitted:
             assert sum(start <= at < start + 1.0 for at in admitted) <= max_openings
+
+    def test_a_changed_limit_counts_earlier_openings(self):
+        # Guards against a new configuration that lets an upstream have the openings of two limits.
+        first = WarmUpLimiter(max_openings=2, started_at=-WINDOW_S)
+        first.admit(0.0)
+        first.admit(0.1)
+        second = WarmUpLimiter(max_openings=3, started_at=-WINDOW_S, admitted_at=first.admitted_at)
+        second.admit(0.2)
+        assert not second.has_room(0.3)
+        assert second.has_room(WINDOW_S)
--- a/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
@@ -9,6 +9,7 @@
 
 from laburnumbridge.core import Event
 from laburnumbridge.flows import ExpiringMap
+from laburnumbridge.flows import FlowState
 from laburnumbridge.flows import NewestFirstQueue
 from laburnumbridge.flows import OpeningDeadline
 from laburnumbridge.flows import PlannedQueue
@@ -137,6 +138,8 @@
         self._flows.settle(now)
         if packet.flow in self._held_openings:
             return  # a copy of a packet that is held until a slot is free
+        if self._is_evacuated() and self._drop_or_forget_tracked(packet.flow, now):
+            return
         if self._flows.get(packet.flow) is None:
             reason = self._reason_to_hand_over(envelope, now)
             if reason is not None and self.hand_over(packet, envelope, reason, now):
@@ -153,6 +156,25 @@
             return
         self._admit(packet, envelope, now)
 
+    def is_holding(self, flow: FlowKey) -> bool:
+        """Return whether an opening packet of ``flow`` waits for a slot."""
+        return flow in self._held_openings
+
+    def _drop_or_forget_tracked(self, flow: FlowKey, now: float) -> bool:
+        """Keep an opening packet of a tracked flow from an evacuated upstream.
+
+        Return whether it was dropped. A copy for a half-open flow is delivered: its first packet
+        was, at most 1.5 s ago.
+        """
+        record = self._flows.get(flow)
+        if record is None or record.state is FlowState.HALF_OPEN:
+            return False
+        if record.state is FlowState.OPEN:
+            self._process.drop("evacuated", flow=flow_text(flow))
+            return True
+        self._flows.forget(flow, now)  # the client opens a new flow from the same port
+        return False
+
     def on_refused_by_upstream(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         """Hand over an opening packet that the upstream returned, or refuse it."""
         reason = "refused_by_upstream"
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -169,7 +169,10 @@
             reset=self._refuse_opening,
         )
         self._refusal_check = RefusalCheck(
-            process=self, inquiries=self._inquiries, reset=self._reset
+            process=self,
+            inquiries=self._inquiries,
+            is_open_here=self._is_open_here,
+            reset=self._reset,
         )
 
     def start(self) -> None:
@@ -337,6 +340,11 @@
         self._warm_up.on_opening(now)
         if envelope.hops:
             self._report_location(packet.flow, envelope.entry_address)
+        if envelope.hops or packet.copy_number:
+            # An agent that holds another copy asks the directory nodes before it refuses that.
+            ranking = self.directory.agent_ranking
+            for node in self._locations.announce(packet.flow, ranking, now):
+                self._send_records_to(node, self.settings.address, [packet.flow])
         self._deliver(packet, envelope)
         self._upstream.on_opening(packet.flow, envelope, now)
 
@@ -462,6 +470,10 @@
         else:
             self._search.forward(packet, envelope, now)
 
+    def _is_open_here(self, flow: FlowKey) -> bool:
+        """Return whether this agent has admitted or holds an opening packet of ``flow``."""
+        return self._flows.get(flow) is not None or self._admission.is_holding(flow)
+
     def _refuse_opening(self, flow: FlowKey, acknowledged: int, reason: str) -> None:
         now = self.loop.now()
         agent = self._admission.handover_agent(flow, now)
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_inquiries.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_inquiries.py
@@ -22,8 +22,10 @@
     from laburnumbridge.forwarding.endpoints import Endpoint
     from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
 
-INQUIRIES_LIMIT = 512
-"""Inquiries at a time. Each runs for 0.65 s at most, and usually for a millisecond."""
+INQUIRIES_LIMIT = 32
+"""Inquiries at a time. Each usually runs for a millisecond. After a loss of power thousands of
+packets of flows that nobody holds arrive at once; beyond this number they are searched along the
+ranking, since answers that are late make inquiries ask again."""
 ANSWERING_TTL_S = 60.0
 """An agent that answered within this time knows queries; one that was replaced by the previous
 version doesn't answer any more."""
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_search.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_search.py
@@ -31,7 +31,7 @@
 this. A removed agent can't hold a flow, since its upstream has ended."""
 REPEATED_SEARCHES_LIMIT = 512
 """Packets that may wait for another search; at 1.3 KB each they stay below a megabyte."""
-REPEATS_PER_FLOW = 10
+REPEATS_PER_FLOW = 3
 """Ends the repetitions of a search while the platform is unavailable; the client's next packet
 begins another one."""
 REPEATS_TTL_S = 3.0
@@ -113,7 +113,7 @@
         )
         if not is_started:
             del self._waiting_by_flow[packet.flow]
-            self._walk(packet, envelope, now)
+            self._walk_from_first(packet, envelope, now)
 
     def _on_result(self, flow: FlowKey, result: InquiryResult) -> None:
         waiting = self._waiting_by_flow.pop(flow)
@@ -126,7 +126,7 @@
         packet, envelope = waiting[-1]
         now = self._process.loop.now()
         if result.unaware or len(result.uncertain) >= MAX_CANDIDATES:
-            self._walk(packet, envelope, now)
+            self._walk_from_first(packet, envelope, now)
         elif result.uncertain:
             candidates = (*result.uncertain, *((NO_AGENT,) if result.silent else ()))
             visit = replace(envelope, stage=SearchStage.CANDIDATES, tried=candidates)
@@ -149,6 +149,20 @@
             remaining = replace(envelope, tried=envelope.tried[1:])
             self._forward(remaining, following[0], SearchStage.CANDIDATES)
 
+    def _walk_from_first(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
+        """Forward a packet to the first agent of the ranking, which may be this one.
+
+        The second directory node would only ask the same agents again.
+        """
+        order = self._process.directory.search_order(envelope.service_tag)
+        uses_records = envelope.stage is not SearchStage.RECORDED
+        step = order.first_walk_step(packet.flow, uses_records=uses_records)
+        if step is None:
+            self._end_search(packet, envelope, now)
+            return
+        self._process.metrics.count("search_hops_total")
+        self._forward(envelope, step.agent, step.stage)
+
     def _walk(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         """Forward a packet to the next agent of the ranking, or end the search."""
         step = self._process.directory.search_order(envelope.service_tag).next_step(
@@ -186,5 +200,7 @@
     def _repeat(self, packet: FlowPacket, envelope: Envelope) -> None:
         self._pending_repeats -= 1
         if not self.drop_after_max_hops(packet, envelope):
-            repeated = replace(envelope, stage=SearchStage.RECORDED, tried=())
+            # After a walk the hops exceed what an inquiry may have.
+            hops = min(envelope.hops, MAX_INQUIRY_HOPS - 1)
+            repeated = replace(envelope, stage=SearchStage.RECORDED, tried=(), hops=hops)
             self.forward(packet, repeated, self._process.loop.now())
--- a/libs/forwarding/src/laburnumbridge/forwarding/http_client.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/http_client.py
@@ -44,6 +44,7 @@
         self._target = ""
         self._has_response_begun = False
         self._timer: Timer | None = None
+        self._first_answer_timer: Timer | None = None
         self._on_answer: Callable[[int, dict[str, str], bytes], None] | None = None
         self._on_failure: Callable[[HttpCallFailedError], None] | None = None
 
@@ -57,13 +58,22 @@
         target: str,
         *,
         timeout_s: float,
+        first_answer_timeout_s: float | None = None,
         on_answer: Callable[[int, dict[str, str], bytes], None],
         on_failure: Callable[[HttpCallFailedError], None],
     ) -> None:
-        """Start a GET call; it fails after ``timeout_s`` seconds without a response."""
+        """Start a GET call; it fails after ``timeout_s`` seconds without a whole response.
+
+        It also fails if nothing of the response has arrived after ``first_answer_timeout_s``.
+        """
         self._on_answer = on_answer
         self._on_failure = on_failure
         self._timer = self._loop.call_later(timeout_s, lambda: self._fail("timeout"))
+        self._first_answer_timer = None
+        if first_answer_timeout_s is not None:
+            self._first_answer_timer = self._loop.call_later(
+                first_answer_timeout_s, lambda: self._fail("timeout")
+            )
         self._target = target
         self._has_response_begun = False
         stream = self._stream or self._connect()
@@ -83,9 +93,7 @@
         return stream
 
     def _disconnect(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._cancel_timers()
         if self._stream is not None:
             self._stream.close()
             self._stream = None
@@ -100,7 +108,16 @@
         if on_failure is not None:
             on_failure(HttpCallFailedError(reason=reason))
 
+    def _cancel_timers(self) -> None:
+        for timer in (self._timer, self._first_answer_timer):
+            if timer is not None:
+                timer.cancel()
+        self._timer = self._first_answer_timer = None
+
     def _on_data(self, data: bytes) -> None:
+        if self._first_answer_timer is not None:
+            self._first_answer_timer.cancel()
+            self._first_answer_timer = None
         if not self.is_calling:
             self._fail("unexpected data")
             return
@@ -124,9 +141,7 @@
         return self._reader
 
     def _finish_call(self, status: int, headers: dict[str, str], body: bytes) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._cancel_timers()
         if self._reader is None or not self._reader.finish():
             self._disconnect()
         on_answer, self._on_answer, self._on_failure = self._on_answer, None, None
--- a/libs/forwarding/src/laburnumbridge/forwarding/refusal_check.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/refusal_check.py
@@ -30,6 +30,7 @@
 
     Copies of an opening packet go different ways. It asks the agents that had this copy before, the
     one that it was handed over to, and the flow's directory nodes: ten small queries at most.
+    ``is_open_here`` returns whether a copy that came meanwhile was admitted or is held here.
     """
 
     def __init__(
@@ -37,10 +38,12 @@
         *,
         process: ForwardingProcess,
         inquiries: FlowInquiries,
+        is_open_here: Callable[[FlowKey], bool],
         reset: Callable[[FlowKey, int, str], None],
     ) -> None:
         self._process = process
         self._inquiries = inquiries
+        self._is_open_here = is_open_here
         self._reset = reset
         self._tried_by_flow: ExpiringMap[FlowKey, tuple[str, ...]] = ExpiringMap(
             ttl_s=TRIED_TTL_S, limit=TRIED_LIMIT
@@ -87,5 +90,8 @@
     ) -> None:
         if result.is_open:
             self._process.drop("open_elsewhere", flow=flow_text(flow), agent=result.holder)
+        elif self._is_open_here(flow):
+            # A copy has arrived here since.
+            self._process.drop("open_elsewhere", flow=flow_text(flow))
         else:
             self._reset(flow, acknowledged, reason)
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -79,12 +79,13 @@
         has_new_services = False
         if update.configuration or update.configuration_change:
             has_new_services = self._apply_configuration()
+        # Removals first: one that is sent again may be older than the entry in the same update.
+        for removal in update.removals:
+            self._warm_up_ends_at_by_name.pop(removal.name, None)
         for entry in update.entries:
             if self._entry_by_name.get(entry.name) == entry:
                 continue  # sent again for peers that lack it
             self._warm_up_ends_at_by_name[entry.name] = now + entry.warm_up_left_ms / 1000
-        for removal in update.removals:
-            self._warm_up_ends_at_by_name.pop(removal.name, None)
         if update.entries or update.removals or has_new_services:
             self._rebuild_agents(now)
 
--- a/libs/forwarding/src/laburnumbridge/forwarding/store_reader.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/store_reader.py
@@ -88,6 +88,7 @@
         self._client.get(
             target,
             timeout_s=call.timeout_s,
+            first_answer_timeout_s=call.first_answer_timeout_s,
             on_answer=lambda status, headers, body: self._on_answer(
                 is_watch, status, headers, body
             ),
--- a/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/view_sharing.py
@@ -52,6 +52,8 @@
 """A peer that lags gets a snapshot once in this time at most; with 1,300 routes it has 100 KB."""
 FIRST_VIEW_TIMEOUT_S = 0.5
 """A process without a view asks one peer at a time for it, and another one after this time."""
+FIRST_VIEW_LONGEST_S = 2.0
+"""Another peer is asked after this time also while the first one sends data, which may be other."""
 FIRST_VIEW_MAX_WAIT_S = 0.3
 """A process that needs a view reads the platform if none has arrived for this long after a peer has
 offered one. The answer takes 0.6 s on 5 Mbit/s, and packets of clients are kept for 1 s."""
@@ -335,7 +337,12 @@
         if now - self._view_offered_at < wait_s:
             return
         links = [link for link in self._links if link.has_view and link.is_connected]
-        if not links or now - max(link.asked_for_view_at for link in links) < FIRST_VIEW_TIMEOUT_S:
+        if not links:
+            return
+        asked = max(links, key=lambda one: one.asked_for_view_at)
+        # On a slow link the answer takes longer; another one would only be queued behind it.
+        answering_at = min(asked.last_active_at, asked.asked_for_view_at + FIRST_VIEW_LONGEST_S)
+        if now - max(asked.asked_for_view_at, answering_at) < FIRST_VIEW_TIMEOUT_S:
             return
         link = min(links, key=lambda one: (one.asked_for_view_at, one.endpoint))
         link.asked_for_view_at = now
--- a/libs/forwarding/src/laburnumbridge/forwarding/warm_up_control.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/warm_up_control.py
@@ -47,7 +47,7 @@
         """Note a change of the configuration, of the upstream's start or of an evacuation."""
         configuration = self._process.view.catalog.configuration
         if configuration is not None:
-            found = [one for one in configuration.warm_ups if one.service == self._service]
+            found = [one for one in configuration.warm_ups or () if one.service == self._service]
             is_first = not self._is_configured
             self._is_configured = True
             # An operator who publishes 0 has stated no limit: the slack alone would let a service
@@ -56,7 +56,9 @@
             limit = self._max_openings(self._warm_up.openings_per_s if self._warm_up else 0.0)
             if is_first or limit != self._limiter.max_openings:
                 self._limiter = WarmUpLimiter(
-                    max_openings=limit, started_at=self._started_at if is_first else now
+                    max_openings=limit,
+                    started_at=self._started_at if is_first else now,
+                    admitted_at=self._limiter.admitted_at,
                 )
         entry = self._entry()
         if entry is not None:
--- a/libs/forwarding/tests/test_evacuation.py
+++ b/libs/forwarding/tests/test_evacuation.py
@@ -138,6 +138,33 @@
     return flows, max(end - start for start, end in zip(before, after, strict=True))
 
 
+class TestTrackedFlows:
+    @pytest.mark.parametrize("is_closed", [True, False])
+    def test_an_opening_of_a_flow_that_is_still_tracked(self, fleet, is_closed):
+        # Guards against an opening from a port that its client has used before, which reached an
+        # evacuated upstream since the agent there still tracked the earlier flow.
+        opened = open_flows(fleet)
+        fleet.platform.evacuate("north")
+        fleet.simulation.run_for(EVACUATE_S)
+        if is_closed:
+            for flow in opened:
+                flow.close()
+            fleet.simulation.run_for(0.5)
+        delivered = []
+
+        def record_openings(datagram, endpoint):
+            is_upstream = endpoint[1] == UPSTREAM_PORT
+            if is_upstream and StandInPacketCodec().decode_from_client(datagram).is_opening:
+                delivered.append(fleet.failure_domain(endpoint[0]))
+            return False
+
+        fleet.simulation.should_drop = record_openings
+        for flow in opened:
+            flow.open()
+            fleet.simulation.run_for(0.05)
+        assert "north" not in delivered
+
+
 class TestExchange:
     def test_no_snapshot_is_sent(self, fleet, monkeypatch):
         # Guards against peers that seem to lag after an evacuation: each got the whole view, of
--- a/libs/forwarding/tests/test_first_view.py
+++ b/libs/forwarding/tests/test_first_view.py
@@ -132,6 +132,23 @@
         assert "first_view_seconds_count 1\n" in metrics
         assert f"first_view_seconds_sum {first_view_s:.3f}" in metrics
 
+    def test_the_platform_answers_again_while_the_fleet_starts(self, tmp_path):
+        # Guards against a fleet without a view whose readers all wait 1.5 s for the answers to
+        # calls that a silent platform has lost.
+        fleet = SimulatedFleet(directory=tmp_path)
+        fleet.platform.is_unresponsive = True
+        for address in fleet.balancers:
+            fleet.start_process(address)
+        fleet.simulation.run_for(0.7)
+        fleet.platform.is_unresponsive = False
+        fleet.configure(version=1)
+        for address in fleet.agents:
+            fleet.start_upstream(address)
+        fleet.simulation.run_for(0.5)
+        assert all(
+            fleet.process_by_address[address].view.catalog.is_ready for address in fleet.balancers
+        )
+
     def test_another_seed_is_asked_when_the_first_is_lost(self, fleet, seeds_with_view):
         # Guards against a process that waits for a seed that has lost power during the answer.
         first_asked = seeds_with_view[0]
