Explain the scores of an upstream selector

A selector could only place flows, which counts a placement and draws random numbers. `explain` returns the scored candidates, with what is known of them, from a copy of the selector; `choose` takes the lowest of the same scores. `copy` keeps the random sequence and the unevenness, so the first explained candidate is the one that the next `choose` returns.

--- a/libs/core/src/laburnumbridge/core/choice.py
+++ b/libs/core/src/laburnumbridge/core/choice.py
@@ -25,6 +25,12 @@
         self._seed = seed & ((1 << 64) - 1)
         self._drawn = 0
 
+    def copy(self) -> Choice:
+        """Return an independent sequence with the same next numbers."""
+        duplicate = Choice(seed=self._seed)
+        duplicate._drawn = self._drawn
+        return duplicate
+
     def fraction(self) -> float:
         """Return the next number in [0, 1)."""
         self._drawn += 1
--- a/libs/flows/src/laburnumbridge/flows/__init__.py
+++ b/libs/flows/src/laburnumbridge/flows/__init__.py
@@ -27,6 +27,7 @@
 from laburnumbridge.flows.packet_codec import PacketCodec
 from laburnumbridge.flows.planned_queue import PlannedQueue
 from laburnumbridge.flows.record_recovery import RecordRecovery
+from laburnumbridge.flows.scored_candidate import ScoredCandidate
 from laburnumbridge.flows.search_order import SearchOrder
 from laburnumbridge.flows.search_order import SearchStep
 from laburnumbridge.flows.upstream_selector import UpstreamSelector
@@ -60,6 +61,7 @@
     "PacketCodec",
     "PlannedQueue",
     "RecordRecovery",
+    "ScoredCandidate",
     "SearchOrder",
     "SearchStep",
     "TrackedFlow",
--- a/libs/flows/src/laburnumbridge/flows/upstream_selector.py
+++ b/libs/flows/src/laburnumbridge/flows/upstream_selector.py
@@ -7,10 +7,12 @@
 
 from laburnumbridge.core import Choice
 from laburnumbridge.flows.received_report import ReceivedReport
+from laburnumbridge.flows.scored_candidate import ScoredCandidate
 from laburnumbridge.flows.work_placement import WorkPlacement
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Iterator
 
     from laburnumbridge.flows.candidate import Candidate
     from laburnumbridge.flows.peer_datagrams import LoadReport
@@ -71,6 +73,24 @@
         self._unanswered_since_by_agent: dict[str, float] = {}
         self._sent_since_answer_at: float | None = None
 
+    def copy(self) -> UpstreamSelector:
+        """Return a selector that decides as this one would; using it doesn't change this one."""
+        duplicate = UpstreamSelector(seed=0, failure_domain=self._failure_domain)
+        duplicate._choice = self._choice.copy()
+        duplicate._has_work_reports = self._has_work_reports
+        duplicate._placement_by_tag = {
+            tag: placement.copy() for tag, placement in self._placement_by_tag.items()
+        }
+        duplicate._refreshed_at_by_tag = dict(self._refreshed_at_by_tag)
+        duplicate._report_by_agent = dict(self._report_by_agent)
+        duplicate._placed_at_by_agent = {
+            agent: list(placed_at) for agent, placed_at in self._placed_at_by_agent.items()
+        }
+        duplicate._avoid_until_by_agent = dict(self._avoid_until_by_agent)
+        duplicate._unanswered_since_by_agent = dict(self._unanswered_since_by_agent)
+        duplicate._sent_since_answer_at = self._sent_since_answer_at
+        return duplicate
+
     def on_sent(self, agent: str, now: float) -> None:
         """Record that a packet was sent to ``agent``, which answers with a load report."""
         self._unanswered_since_by_agent.setdefault(agent, now)
@@ -148,6 +168,25 @@
         """
         best: tuple[float, ...] | None = None
         chosen = None
+        for score, candidate in self._scores(
+            candidates, is_long=is_long, now=now, excluded=excluded, service_tag=service_tag
+        ):
+            if best is None or score < best:
+                best = score
+                chosen = candidate.agent
+        if chosen is not None:
+            self._placed_at_by_agent.setdefault(chosen, []).append(now)
+        return chosen
+
+    def _scores(
+        self,
+        candidates: Collection[Candidate],
+        *,
+        is_long: bool,
+        now: float,
+        excluded: Collection[str],
+        service_tag: int,
+    ) -> Iterator[tuple[tuple[float, ...], Candidate]]:
         placement = self._uneven_placement(candidates, service_tag, now)
         mean_busy_share = 0.0 if placement else self._mean_busy_share(candidates, now)
         failing = self._failing(candidates, now)
@@ -164,12 +203,67 @@
                 score = self._score(
                     candidate, mean_busy_share, is_long=is_long, is_failing=is_failing, now=now
                 )
-            if best is None or score < best:
-                best = score
-                chosen = candidate.agent
-        if chosen is not None:
-            self._placed_at_by_agent.setdefault(chosen, []).append(now)
-        return chosen
+            yield score, candidate
+
+    def explain(
+        self,
+        candidates: Collection[Candidate],
+        *,
+        is_long: bool,
+        now: float,
+        excluded: Collection[str] = (),
+        service_tag: int = 0,
+        only_idle: bool = False,
+    ) -> list[ScoredCandidate]:
+        """Return the candidates as ``choose`` would score them, best first; nothing is changed.
+
+        With ``only_idle`` they are those that ``choose_idle`` would score.
+        """
+        trial = self.copy()
+        placement = trial._uneven_placement(candidates, service_tag, now)
+        if only_idle:
+            candidates = trial._idle(candidates, now)
+        scores = trial._scores(
+            candidates, is_long=is_long, now=now, excluded=excluded, service_tag=service_tag
+        )
+        failing = trial._failing(candidates, now)
+        return [
+            trial._explain(
+                candidate, score, placement, is_failing=candidate.agent in failing, now=now
+            )
+            for score, candidate in sorted(scores, key=lambda scored: scored[0])
+        ]
+
+    def _explain(
+        self,
+        candidate: Candidate,
+        score: tuple[float, ...],
+        placement: WorkPlacement | None,
+        *,
+        is_failing: bool,
+        now: float,
+    ) -> ScoredCandidate:
+        agent = candidate.agent
+        last = self._report_by_agent.get(agent)
+        reason = self._unavailable_reason(agent, now)
+        estimate = None if placement is None else placement.estimate(candidate, last, now)
+        known = estimate or (last.work if last else None)
+        return ScoredCandidate(
+            agent=agent,
+            failure_domain=candidate.failure_domain,
+            slots=candidate.slots,
+            is_cold=candidate.slow_start < 1.0,
+            score=score,
+            avoided=(() if reason is None else (reason,)) + (("failing",) if is_failing else ()),
+            pending=self._pending(agent, now),
+            busy=last.report.busy if last else None,
+            open_flows=last.report.open_flows if last else None,
+            report_age_s=now - last.reported_at if last else None,
+            speed=estimate.speed if estimate else None,
+            wait_s=known.wait_s if known else None,
+            work_s=known.work_s if known else None,
+            demand=known.demand if known else None,
+        )
 
     def choose_idle(
         self,
@@ -182,11 +276,17 @@
     ) -> str | None:
         """Like ``choose``, but only among agents whose recent report shows a free slot."""
         self._uneven_placement(candidates, service_tag, now)  # judged by all of the service
-        idle = [candidate for candidate in candidates if self._has_free_slot(candidate, now)]
         return self.choose(
-            idle, is_long=is_long, now=now, excluded=excluded, service_tag=service_tag
+            self._idle(candidates, now),
+            is_long=is_long,
+            now=now,
+            excluded=excluded,
+            service_tag=service_tag,
         )
 
+    def _idle(self, candidates: Collection[Candidate], now: float) -> list[Candidate]:
+        return [candidate for candidate in candidates if self._has_free_slot(candidate, now)]
+
     def _has_free_slot(self, candidate: Candidate, now: float) -> bool:
         last = self._fresh_report(candidate.agent, now)
         return (
@@ -267,15 +367,19 @@
 
     def is_available(self, agent: str, now: float) -> bool:
         """Return whether ``agent`` is expected to take a new flow; True if it hasn't reported."""
+        return self._unavailable_reason(agent, now) is None
+
+    def _unavailable_reason(self, agent: str, now: float) -> str | None:
         last = self._report_by_agent.get(agent)
-        is_unavailable = (
+        if (
             last is not None
             and not last.report.is_available
             and now - last.reported_at <= UNAVAILABLE_REPORT_TTL_S
-        )
-        is_avoided = self._avoid_until_by_agent.get(agent, 0.0) > now
-        is_silent = self.unanswered_s(agent, now) > UNRESPONSIVE_S
-        return not (is_unavailable or is_avoided or is_silent)
+        ):
+            return "unavailable"
+        if self._avoid_until_by_agent.get(agent, 0.0) > now:
+            return "unanswered"
+        return "silent" if self.unanswered_s(agent, now) > UNRESPONSIVE_S else None
 
     def _failing(self, candidates: Collection[Candidate], now: float) -> set[str]:
         """Return the agents that report failures; none if they exceed ``FAILING_SHARE_LIMIT``."""
@@ -353,8 +457,8 @@
         return (self._penalty(agent, is_failing=is_failing, now=now) + score,)
 
     def _penalty(self, agent: str, *, is_failing: bool, now: float) -> float:
-        available = self.is_available(agent, now)
-        return (not available) * UNAVAILABLE_PENALTY + is_failing * FAILING_PENALTY
+        is_unavailable = self._unavailable_reason(agent, now) is not None
+        return is_unavailable * UNAVAILABLE_PENALTY + is_failing * FAILING_PENALTY
 
     def _pending(self, agent: str, now: float) -> int:
         placed_at = self._placed_at_by_agent.get(agent)
--- a/libs/flows/src/laburnumbridge/flows/work_placement.py
+++ b/libs/flows/src/laburnumbridge/flows/work_placement.py
@@ -62,6 +62,15 @@
     fastest_s: float
 
 
+class UpstreamEstimate(msgspec.Struct, frozen=True, kw_only=True):
+    """What the score of an upstream is based on; ``speed`` is relative to the service's mean."""
+
+    work_s: float
+    speed: float
+    wait_s: float
+    demand: float
+
+
 class _Terms(msgspec.Struct, frozen=True, kw_only=True):
     """What the score of one candidate is made of until the next refresh."""
 
@@ -88,6 +97,13 @@
         self._mean_flow_demand = MIN_FLOW_DEMAND
         self._terms_by_agent: dict[str, _Terms] = {}
 
+    def copy(self) -> WorkPlacement:
+        """Return a placement with the same state, which a refresh of this one doesn't change."""
+        duplicate = WorkPlacement(failure_domain=self._failure_domain)
+        # A refresh replaces the mapping of terms and doesn't change it.
+        vars(duplicate).update(vars(self))
+        return duplicate
+
     def refresh(
         self,
         candidates: Collection[Candidate],
@@ -206,6 +222,20 @@
         wait_s = self._wait_s(terms, received, now) + pending * terms.pending_s
         return wait_s + terms.work_s + terms.other_domain_s + spread_s
 
+    def estimate(
+        self, candidate: Candidate, received: ReceivedReport | None, now: float
+    ) -> UpstreamEstimate:
+        """Return what ``score`` is based on, without pending placements; valid like it."""
+        terms = self._terms_by_agent.get(candidate.agent)
+        if terms is None:
+            terms = self._terms(candidate, self._mean_work_s)
+        return UpstreamEstimate(
+            work_s=terms.work_s,
+            speed=self._mean_work_s / terms.work_s,
+            wait_s=self._wait_s(terms, received, now),
+            demand=self._demand(terms, received, now),
+        )
+
     def _wait_s(self, terms: _Terms, received: ReceivedReport | None, now: float) -> float:
         if received is None:
             return self._mean_wait_s
