Answer over HTTP where an opening packet would be sent

A balancer's reasons for a placement could only be derived from its log and metrics afterwards. Its metrics server answers `/place?flow=` with the decision, the scored candidates and the excluded upstreams as JSON. The decision is moved out of `_open` into `_decide`, which the query calls with a copy of the selector, so that nothing is sent, logged or counted. A malformed flow gets 400, a balancer without a view 503 and an agent 404, each with a plain text.

--- a/libs/forwarding/src/laburnumbridge/forwarding/errors.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/errors.py
@@ -25,6 +25,15 @@
         self.reason = reason
 
 
+class MalformedFlowError(InvalidInputError):
+    """The text isn't the id of a flow."""
+
+    def __init__(self, *, text: str, reason: str) -> None:
+        super().__init__(f"flow {text!r}: {reason}; use CLIENT:PORT>SERVICE:PORT")
+        self.text = text
+        self.reason = reason
+
+
 class UnknownRoleError(InvalidInputError):
     """The command names a role that doesn't exist."""
 
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -26,6 +26,7 @@
 from laburnumbridge.forwarding.forwarding_process import STOP_MARGIN_S
 from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
 from laburnumbridge.forwarding.forwarding_process import flow_text
+from laburnumbridge.forwarding.opening_decision import OpeningDecision
 from laburnumbridge.forwarding.service_directory import service_tag
 
 if TYPE_CHECKING:
@@ -37,6 +38,7 @@
     from laburnumbridge.flows import FlowKey
     from laburnumbridge.flows import FlowPacket
     from laburnumbridge.forwarding.endpoints import Endpoint
+    from laburnumbridge.forwarding.placement_explanation import PlacementExplanation
 
 FLOWS_LIMIT = 100_000
 """4.8 million flows on 780 balancers are 6,200 each; this allows 16 times that, for the time when
@@ -180,32 +182,17 @@
             self._forward(packet, route, now)
 
     def _open(self, packet: FlowPacket, route: Route, now: float) -> None:
-        tag = self._service_tag(route, packet.flow)
-        located_agent = self._agent_by_flow.get(packet.flow, now)
-        excluded: tuple[str, ...] = ()
-        if located_agent is not None:
-            # A copy of an opening packet. A responsive agent has received the first one.
-            if self._selector.is_responsive(located_agent, now):
-                tag = self._located_tag(route, tag, located_agent)
-                self._send(packet, located_agent, tag, SearchStage.DIRECT, now)
-                return
-            self._selector.avoid(located_agent, now + AVOID_S)
-            excluded = (located_agent,)
-        candidates = self.directory.candidates(tag, now)
-        is_long = route.is_retryable and not route.is_transfer
-        overflow = self._overflow(route, tag, candidates, is_long=is_long, excluded=excluded)
-        agent: str | None
-        if overflow is not None:
-            agent, tag = overflow
-        else:
-            agent = self._selector.choose(
-                candidates, is_long=is_long, now=now, excluded=excluded, service_tag=tag
-            )
-        agent = agent or located_agent
+        decision = self._decide(packet.flow, route, self._selector, now)
+        agent = decision.agent
         if agent is None:
-            is_evacuated = self.directory.is_evacuated(tag)
-            self._reset(packet, "evacuated" if is_evacuated else "no_upstream")
+            self._reset(packet, decision.refusal)
             return
+        tag = decision.tag
+        if decision.is_repeated:
+            self._send(packet, agent, tag, SearchStage.DIRECT, now)
+            return
+        if decision.is_overflow:
+            self.metrics.count("flows_overflowed_total")
         self._agent_by_flow.put(packet.flow, agent, now)
         self.metrics.count("flows_placed_total")
         self.metrics.count(
@@ -213,21 +200,135 @@
         )
         self.log.write(
             Event.FLOW_PLACED,
-            outcome="copy" if located_agent else "first",
+            outcome="copy" if decision.located_agent else "first",
             flow=flow_text(packet.flow),
             route=route.name,
             agent=agent,
-            candidates=len(candidates),
+            candidates=len(decision.candidates),
             revision=self.view.catalog.revision,
             view_age_s=self.view_age_s(),
         )
         self._send(packet, agent, tag, SearchStage.DIRECT, now)
 
+    def _decide(
+        self, flow: FlowKey, route: Route, selector: UpstreamSelector, now: float
+    ) -> OpeningDecision:
+        """Decide where an opening packet goes, and count a placement at ``selector`` only."""
+        selected_tag = self._service_tag(route, flow)
+        is_long = route.is_retryable and not route.is_transfer
+        located_agent = self._agent_by_flow.get(flow, now)
+        excluded: tuple[str, ...] = ()
+        if located_agent is not None:
+            # A copy of an opening packet. A responsive agent has received the first one.
+            if selector.is_responsive(located_agent, now):
+                return OpeningDecision(
+                    agent=located_agent,
+                    tag=self._located_tag(route, selected_tag, located_agent),
+                    selected_tag=selected_tag,
+                    is_long=is_long,
+                    located_agent=located_agent,
+                    is_repeated=True,
+                )
+            selector.avoid(located_agent, now + AVOID_S)
+            excluded = (located_agent,)
+        candidates = self.directory.candidates(selected_tag, now)
+        overflow = self._overflow(
+            route, selected_tag, candidates, selector, is_long=is_long, excluded=excluded
+        )
+        agent, tag = overflow or (
+            selector.choose(
+                candidates, is_long=is_long, now=now, excluded=excluded, service_tag=selected_tag
+            ),
+            selected_tag,
+        )
+        agent = agent or located_agent
+        refusal = ""
+        if agent is None:
+            refusal = "evacuated" if self.directory.is_evacuated(tag) else "no_upstream"
+        return OpeningDecision(
+            agent=agent,
+            tag=tag,
+            selected_tag=selected_tag,
+            is_long=is_long,
+            located_agent=located_agent,
+            is_overflow=overflow is not None,
+            refusal=refusal,
+            candidates=candidates,
+            excluded=excluded,
+        )
+
+    def serve_placement(self, path: str) -> tuple[int, bytes]:
+        """Answer the query where an opening packet would be sent; nothing is sent or counted."""
+        # Imported with the first query: urllib.parse would delay the start.
+        from laburnumbridge.forwarding.placement_query import answer_placement_query
+
+        if not self._had_view or not self.directory.has_routes:
+            return 503, b"no view of the fleet yet\n"
+        return answer_placement_query(path, self.explain_placement)
+
+    def explain_placement(self, flow: FlowKey) -> PlacementExplanation:
+        """Return where an opening packet of ``flow`` would be sent now, and why."""
+        from laburnumbridge.forwarding.placement_explanation import ExcludedUpstream
+        from laburnumbridge.forwarding.placement_explanation import PlacementExplanation
+
+        now = self.loop.now()
+        route = self.directory.route(flow)
+        process, text, age_s = self.settings.process, flow_text(flow), self.view_age_s()
+        if route is None:
+            return PlacementExplanation(
+                process=process, flow=text, outcome="no_route", view_age_s=age_s
+            )
+        trial = self._selector.copy()
+        decision = self._decide(flow, route, trial, now)
+        tag = decision.tag
+        candidates = self.directory.candidates(tag, now)
+        scored = self._selector.explain(
+            candidates,
+            is_long=decision.is_long,
+            now=now,
+            excluded=decision.excluded,
+            service_tag=tag,
+            only_idle=decision.is_overflow,
+        )
+        excluded = [
+            ExcludedUpstream(agent=entry.address, failure_domain=entry.failure_domain, reason=why)
+            for entry, why in self.directory.excluded(tag)
+        ]
+        usable = {one.agent for one in scored}
+        excluded += [
+            ExcludedUpstream(
+                agent=one.agent,
+                failure_domain=one.failure_domain,
+                reason="unanswered" if one.agent in decision.excluded else "no_free_slot",
+            )
+            for one in candidates
+            if one.agent not in usable
+        ]
+        outcome = "overflow" if decision.is_overflow else decision.refusal or "placed"
+        name_by_tag = {service_tag(share.service): share.service for share in route.shares}
+        return PlacementExplanation(
+            process=process,
+            flow=text,
+            outcome="located" if decision.is_repeated else outcome,
+            agent=decision.agent,
+            route=route.name,
+            priority=route.priority,
+            target_latency_ms=route.target_latency_ms,
+            is_long=decision.is_long,
+            selected_service=name_by_tag[decision.selected_tag],
+            service=name_by_tag[tag],
+            method="uneven" if trial.is_uneven(tag) else "even",
+            view_age_s=age_s,
+            candidates=scored,
+            excluded=excluded,
+        )
+
     def _overflow(
         self,
         route: Route,
         tag: int,
         candidates: Collection[Candidate],
+        selector: UpstreamSelector,
         *,
         is_long: bool,
         excluded: Collection[str],
@@ -240,16 +341,16 @@
         """
         if len(route.shares) == 1:
             return None
-        if not route.target_latency_ms and not self._selector.is_uneven(tag):
+        if not route.target_latency_ms and not selector.is_uneven(tag):
             return None
         now = self.loop.now()
-        if not self._selector.is_full(candidates, now):
+        if not selector.is_full(candidates, now):
             return None
         for share in route.shares:
             other_tag = service_tag(share.service)
             if not share.weight or other_tag == tag:
                 continue
-            agent = self._selector.choose_idle(
+            agent = selector.choose_idle(
                 self.directory.candidates(other_tag, now),
                 now=now,
                 is_long=is_long,
@@ -257,7 +358,6 @@
                 service_tag=other_tag,
             )
             if agent is not None:
-                self.metrics.count("flows_overflowed_total")
                 return agent, other_tag
         return None
 
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -34,6 +34,7 @@
     from laburnumbridge.forwarding.network import Loop
     from laburnumbridge.forwarding.network import Network
 
+PLACE_PATH = "/place"
 CHECK_INTERVAL_S = 0.5
 """Settings may change without a signal, so the small file is read this often, which is cheap."""
 PAUSE_THRESHOLD_S = 0.2
@@ -239,9 +240,15 @@
             return "internal errors"
         return None
 
-    def _serve_metrics(self, _path: str) -> tuple[int, bytes]:
+    def _serve_metrics(self, path: str) -> tuple[int, bytes]:
+        if path.partition("?")[0] == PLACE_PATH:
+            return self.serve_placement(path)
         return 200, self.metrics.render()
 
+    def serve_placement(self, _path: str) -> tuple[int, bytes]:
+        """Answer the query where an opening packet would be sent, which only balancers know."""
+        return 404, b"only balancers answer this query\n"
+
     def _check_settings_and_lag(self) -> None:
         """Reload changed settings, observe the loop's lag and log a pause of the process."""
         now = self.loop.now()
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -194,6 +194,21 @@
                 ),
             )
             for entry in self._entries_by_tag.get(tag, ())
-            if not entry.is_draining and entry.failure_domain not in evacuated
+            if _exclusion(entry, evacuated) is None
         }
         return list(candidate_by_agent.values())
+
+    def excluded(self, tag: int) -> list[tuple[UpstreamEntry, str]]:
+        """Return the upstreams of a service that aren't candidates, each with the reason."""
+        evacuated = self._catalog.evacuated_domains
+        return [
+            (entry, reason)
+            for entry in self._entries_by_tag.get(tag, ())
+            if (reason := _exclusion(entry, evacuated)) is not None
+        ]
+
+
+def _exclusion(entry: UpstreamEntry, evacuated: frozenset[str]) -> str | None:
+    if entry.is_draining:
+        return "draining"
+    return "evacuated" if entry.failure_domain in evacuated else None
