Add the command flow place

Operators had no way to see where a running balancer would send a new flow, and why. `laburnumbridge flow place SETTINGS FLOW` queries the balancer and prints the choice, the class of the route, the service and a table of candidates and excluded upstreams, or JSON. A malformed flow and the settings of an agent end with status 2, a balancer without an answer with status 3.

--- a/libs/cli/src/laburnumbridge/cli/application.py
+++ b/libs/cli/src/laburnumbridge/cli/application.py
@@ -18,6 +18,7 @@
 from laburnumbridge.cli.commands.explain_command import ExplainCommand
 from laburnumbridge.cli.commands.flow_check_command import FlowCheckCommand
 from laburnumbridge.cli.commands.flow_explain_command import FlowExplainCommand
+from laburnumbridge.cli.commands.flow_place_command import FlowPlaceCommand
 from laburnumbridge.cli.commands.flow_status_command import FlowStatusCommand
 from laburnumbridge.cli.commands.report_burn_command import ReportBurnCommand
 from laburnumbridge.cli.commands.report_burn_command import ReportFormat
@@ -186,6 +187,20 @@
     FlowExplainCommand(flow=flow_id, logs=log, as_json=as_json).run()
 
 
+@flow.command("place")
+def place_flow(
+    settings: Annotated[
+        Path, typer.Argument(metavar="SETTINGS", help="Settings file of a running balancer.")
+    ],
+    flow_id: Annotated[
+        str, typer.Argument(metavar="FLOW", help="The flow, as CLIENT:PORT>SERVICE:PORT.")
+    ],
+    as_json: options.Json = False,
+) -> None:
+    """Show where a balancer would send an opening packet now, and why, without sending it."""
+    FlowPlaceCommand(settings=settings, flow=flow_id, as_json=as_json).run()
+
+
 @flow.command("status")
 def show_flow_status(
     settings: Annotated[
--- a/libs/cli/src/laburnumbridge/cli/errors.py
+++ b/libs/cli/src/laburnumbridge/cli/errors.py
@@ -117,6 +117,31 @@
         self.unresponsive = unresponsive
 
 
+class NotABalancerError(InvalidInputError):
+    """The settings are those of an agent."""
+
+    def __init__(self, *, process: str) -> None:
+        super().__init__(f"{process} is an agent; name the settings file of a balancer")
+        self.process = process
+
+
+class PlacementQueryRejectedError(InvalidInputError):
+    """A balancer found the query malformed; ``reason`` is its answer."""
+
+    def __init__(self, *, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class NoPlacementAnswerError(UnavailableError):
+    """A balancer can't tell where it would send an opening packet."""
+
+    def __init__(self, *, process: str, reason: str) -> None:
+        super().__init__(f"{process} gave no placement: {reason}; see 'flow status'")
+        self.process = process
+        self.reason = reason
+
+
 class FlowNotLoggedError(LaburnumbridgeError):
     """No line of the given logs names the flow."""
 
--- a/libs/cli/src/laburnumbridge/cli/forwarding_status.py
+++ b/libs/cli/src/laburnumbridge/cli/forwarding_status.py
@@ -7,14 +7,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from laburnumbridge.cli.http_get import http_get
 from laburnumbridge.forwarding.endpoints import parse_endpoint
 
 if TYPE_CHECKING:
-    from laburnumbridge.forwarding.endpoints import Endpoint
     from laburnumbridge.forwarding.forwarding_settings import ForwardingSettings
 
-TIMEOUT_S = 2.0
-"""A process answers in milliseconds; a stopped one must not delay the others for long."""
 _PREFIX = "laburnumbridge_"
 _EVACUATED = re.compile(
     r'^laburnumbridge_failure_domain_evacuated\{domain="(.*)"\} 1$', re.MULTILINE
@@ -46,8 +44,8 @@
     """Query the process that runs with ``settings``; a failure is reported as its readiness."""
     role = "balancer" if settings.upstream is None else "agent"
     try:
-        readiness = _get(parse_endpoint(settings.ready_endpoint), "/readyz")
-        metrics = _get((settings.address, settings.metrics_port), "/metrics")
+        _, readiness = http_get(parse_endpoint(settings.ready_endpoint), "/readyz")
+        _, metrics = http_get((settings.address, settings.metrics_port), "/metrics")
     except (OSError, http.client.HTTPException) as error:
         reason = f"no answer: {error or type(error).__name__}"
         return ForwardingStatus(process=settings.process, role=role, readiness=reason)
@@ -75,12 +73,3 @@
         if name and not line.startswith("#"):
             figures[name] = figures.get(name, 0.0) + float(value)
     return figures
-
-
-def _get(endpoint: Endpoint, path: str) -> str:
-    connection = http.client.HTTPConnection(*endpoint, timeout=TIMEOUT_S)
-    try:
-        connection.request("GET", path)
-        return connection.getresponse().read().decode()
-    finally:
-        connection.close()
