--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -289,7 +289,12 @@
 
     async def start(self, *, first: list[str] | None = None, gap_s: float = 0.25) -> None:
         """Start everything; the machines in ``first`` start ``gap_s`` before the others."""
-        self._began = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        self._began = loop.time()
+        # A case that is stopped from outside ends its processes too.
+        main_task = asyncio.current_task(loop)
+        if main_task is not None:
+            loop.add_signal_handler(signal.SIGTERM, main_task.cancel)
         for position, name in enumerate(self.machines):
             await self.store.listen(f"{self.prefix}.{150 + position}", self.store_port)
             await self.relays[name].start()
