Record what the clients of the review's scripts send and are answered

Cause: the records named what backends ran, but not each request as it was sent; a script that ended with an unexpected error had the exit status of a broken rule.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -11,6 +11,7 @@
 sys.path.insert(0, str(HERE.parent / "standins-2"))
 
 from fleet import Fleet  # noqa: E402
+from fleet import run_case  # noqa: E402
 
 FIRST_SERVICE = "bume57c"
 COLLIDING_SERVICE = "niki49e"  # the CRC-32 of both is the same
@@ -76,4 +77,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,6 +12,7 @@
 sys.path.insert(0, str(HERE.parent / "standins-2"))
 
 from fleet import Fleet  # noqa: E402
+from fleet import run_case  # noqa: E402
 
 FLOWS = 60
 IDLE_TIMEOUT_S = 15.0
@@ -111,4 +112,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/standins-2/client.py
+++ b/review/standins-2/client.py
@@ -163,6 +163,12 @@
     ) -> tuple[str, str]:
         """Send one request on an open flow; return its attempt id and how it ended."""
         attempt = attempt or self.new_attempt()
+        self._record("sent", attempt=attempt, path=path, flow=flow.key)
+        how = await self._exchange(flow, path, attempt, deadline_s)
+        self._record("answered", attempt=attempt, how=how)
+        return attempt, how
+
+    async def _exchange(self, flow: Flow, path: str, attempt: str, deadline_s: float) -> str:
         flow.data = b""
         text = f"GET {path} HTTP/1.1\r\nHost: service\r\nX-Attempt-Id: {attempt}\r\n\r\n"
         flow.out += text.encode()
@@ -174,9 +180,9 @@
             now = asyncio.get_running_loop().time()
             answer = self._complete(flow)
             if answer is not None:
-                return attempt, answer
+                return answer
             if now >= deadline:
-                return attempt, "deadline"
+                return "deadline"
             flow.arrived.clear()
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(
@@ -190,7 +196,7 @@
             elif asyncio.get_running_loop().time() >= resend_at:
                 resend_at = asyncio.get_running_loop().time() + interval_s
         answer = self._complete(flow)
-        return attempt, answer if answer is not None else flow.how
+        return answer if answer is not None else flow.how
 
     @staticmethod
     def _complete(flow: Flow) -> str | None:
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -14,6 +14,7 @@
 import tempfile
 import tomllib
 from pathlib import Path
+from typing import TYPE_CHECKING
 from typing import Any
 
 from backend import Backend
@@ -21,12 +22,25 @@
 from client import Routers
 from store import Store
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
 ROOT = Path(__file__).resolve().parents[2]
 ZONE = "north"
 BOUNDS = {"flow_max_s": 60, "grace_s": 6}
 SERVICES = ("desk", "archive")
 
 
+def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    """Return the exit status of a case: 2 if it ended with an error or was stopped."""
+    try:
+        return asyncio.run(main())
+    except (Exception, asyncio.CancelledError) as error:
+        print(f"the case couldn't run: {error!r}", file=sys.stderr)
+        return 2
+
+
 class Relay:
     """A TCP proxy of one machine's way to the store; ``silence`` drops its open connections' bytes.
 
@@ -280,7 +294,7 @@
 
     def now(self) -> float:
         """Return seconds since the start of the record."""
-        return asyncio.get_running_loop().time() - self._began
+        return asyncio.get_running_loop().time() - self._began if self._began else 0.0
 
     def record(self, what: str, **fields: object) -> None:
         """Write one line to the record."""
