Tell services apart by their names

The tag in datagrams, the CRC-32 of the name, was the key of candidates, rankings, hand-overs and learned speeds, and no code compared the names; an agent took every opening with its own tag. Change: everything is kept by name, and the tag is only written when a datagram is sent. An agent turns the tag of an opening back into a name: of services with the same tag, the flow's route names the one that is meant. services_collide (212) tells operators. The format of datagrams is the same. OpeningDecision has names in place of tags. The simulated fleet takes the names of its services and weights by endpoint. Tests that named services by tag use names; test_foreign_entries asks for the same candidates.

--- a/libs/core/src/laburnumbridge/core/event.py
+++ b/libs/core/src/laburnumbridge/core/event.py
@@ -36,6 +36,11 @@
     READING_STARTED = (208, "info", "The process reads the platform itself.")
     READING_STOPPED = (209, "info", "The process stops reading the platform; its peers read it.")
     EVACUATION_CHANGED = (211, "info", "A failure domain was evacuated, or may be used again.")
+    SERVICES_COLLIDE = (
+        212,
+        "warning",
+        "Services have the same tag in datagrams; the routes of their flows tell them apart.",
+    )
     MEMBER_CHANGED = (301, "info", "The state of a process has changed in this view.")
     PANIC_THRESHOLD = (302, "warning", "Too many processes seem dead at once; none is evicted.")
     UPSTREAM_DOWN = (304, "warning", "The upstream refuses connections.")
--- a/libs/flows/src/laburnumbridge/flows/upstream_selector.py
+++ b/libs/flows/src/laburnumbridge/flows/upstream_selector.py
@@ -57,16 +57,16 @@
     at random, so that balancers with the same view don't pick the same agent. While the upstreams
     of a service are uneven, ``WorkPlacement`` takes the place of these shares.
 
-    ``failure_domain`` is that of this process. Services are told apart by their tags in envelopes.
+    ``failure_domain`` is that of this process.
     """
 
     def __init__(self, *, seed: int, failure_domain: str = "") -> None:
         self._choice = Choice(seed=seed)
         self._failure_domain = failure_domain
         self._has_work_reports = False
-        self._placement_by_tag: dict[int, WorkPlacement] = {}
-        self._refreshed_at_by_tag: dict[int, float] = {}
-        self._unevenness_changes: list[tuple[int, UnevennessChange]] = []
+        self._placement_by_service: dict[str, WorkPlacement] = {}
+        self._refreshed_at_by_service: dict[str, float] = {}
+        self._unevenness_changes: list[tuple[str, UnevennessChange]] = []
         self._report_by_agent: dict[str, ReceivedReport] = {}
         self._placed_at_by_agent: dict[str, list[float]] = {}
         self._avoid_until_by_agent: dict[str, float] = {}
@@ -78,10 +78,10 @@
         duplicate = UpstreamSelector(seed=0, failure_domain=self._failure_domain)
         duplicate._choice = self._choice.copy()
         duplicate._has_work_reports = self._has_work_reports
-        duplicate._placement_by_tag = {
-            tag: placement.copy() for tag, placement in self._placement_by_tag.items()
+        duplicate._placement_by_service = {
+            service: placement.copy() for service, placement in self._placement_by_service.items()
         }
-        duplicate._refreshed_at_by_tag = dict(self._refreshed_at_by_tag)
+        duplicate._refreshed_at_by_service = dict(self._refreshed_at_by_service)
         duplicate._report_by_agent = dict(self._report_by_agent)
         duplicate._placed_at_by_agent = {
             agent: list(placed_at) for agent, placed_at in self._placed_at_by_agent.items()
@@ -160,16 +160,16 @@
         is_long: bool,
         now: float,
         excluded: Collection[str] = (),
-        service_tag: int = 0,
+        service: str = "",
     ) -> str | None:
         """Count a placement on the best agent for a new flow and return it, or None without one.
 
-        ``candidates`` are agents of the service with ``service_tag``.
+        ``candidates`` are agents of ``service``.
         """
         best: tuple[float, ...] | None = None
         chosen = None
         for score, candidate in self._scores(
-            candidates, is_long=is_long, now=now, excluded=excluded, service_tag=service_tag
+            candidates, is_long=is_long, now=now, excluded=excluded, service=service
         ):
             if best is None or score < best:
                 best = score
@@ -185,9 +185,9 @@
         is_long: bool,
         now: float,
         excluded: Collection[str],
-        service_tag: int,
+        service: str,
     ) -> Iterator[tuple[tuple[float, ...], Candidate]]:
-        placement = self._uneven_placement(candidates, service_tag, now)
+        placement = self._uneven_placement(candidates, service, now)
         mean_busy_share = 0.0 if placement else self._mean_busy_share(candidates, now)
         failing = self._failing(candidates, now)
         score: tuple[float, ...]
@@ -212,7 +212,7 @@
         is_long: bool,
         now: float,
         excluded: Collection[str] = (),
-        service_tag: int = 0,
+        service: str = "",
         only_idle: bool = False,
     ) -> list[ScoredCandidate]:
         """Return the candidates as ``choose`` would score them, best first; nothing is changed.
@@ -220,11 +220,11 @@
         With ``only_idle`` they are those that ``choose_idle`` would score.
         """
         trial = self.copy()
-        placement = trial._uneven_placement(candidates, service_tag, now)
+        placement = trial._uneven_placement(candidates, service, now)
         if only_idle:
             candidates = trial._idle(candidates, now)
         scores = trial._scores(
-            candidates, is_long=is_long, now=now, excluded=excluded, service_tag=service_tag
+            candidates, is_long=is_long, now=now, excluded=excluded, service=service
         )
         failing = trial._failing(candidates, now)
         return [
@@ -272,16 +272,16 @@
         now: float,
         is_long: bool = False,
         excluded: Collection[str] = (),
-        service_tag: int = 0,
+        service: str = "",
     ) -> str | None:
         """Like ``choose``, but only among agents whose recent report shows a free slot."""
-        self._uneven_placement(candidates, service_tag, now)  # judged by all of the service
+        self._uneven_placement(candidates, service, now)  # judged by all of the service
         return self.choose(
             self._idle(candidates, now),
             is_long=is_long,
             now=now,
             excluded=excluded,
-            service_tag=service_tag,
+            service=service,
         )
 
     def _idle(self, candidates: Collection[Candidate], now: float) -> list[Candidate]:
@@ -312,14 +312,14 @@
         own_s: float,
         now: float,
         excluded: Collection[str],
-        service_tag: int = 0,
+        service: str = "",
     ) -> bool:
         """Return whether an opening is expected to be answered sooner here, within ``own_s``.
 
         It is compared with all others and a handover. While the upstreams of the service are even,
         the answer is False.
         """
-        placement = self._uneven_placement(candidates, service_tag, now)
+        placement = self._uneven_placement(candidates, service, now)
         if placement is None:
             return False
         failing = self._failing(candidates, now)
@@ -337,32 +337,32 @@
             if candidate.agent not in excluded
         )
 
-    def is_uneven(self, service_tag: int) -> bool:
+    def is_uneven(self, service: str) -> bool:
         """Return whether flows of a service are placed by expected work."""
-        placement = self._placement_by_tag.get(service_tag)
+        placement = self._placement_by_service.get(service)
         return placement is not None and placement.is_uneven
 
-    def take_unevenness_changes(self) -> list[tuple[int, UnevennessChange]]:
-        """Return the changes since the last call, with the tags of the services."""
+    def take_unevenness_changes(self) -> list[tuple[str, UnevennessChange]]:
+        """Return the changes since the last call, with the names of the services."""
         changes = self._unevenness_changes
         self._unevenness_changes = []
         return changes
 
     def _uneven_placement(
-        self, candidates: Collection[Candidate], service_tag: int, now: float
+        self, candidates: Collection[Candidate], service: str, now: float
     ) -> WorkPlacement | None:
         """Return the placement by work, or None while the upstreams of the service are even."""
         if not self._has_work_reports or not candidates:
             return None
-        placement = self._placement_by_tag.get(service_tag)
+        placement = self._placement_by_service.get(service)
         if placement is None:
             placement = WorkPlacement(failure_domain=self._failure_domain)
-            self._placement_by_tag[service_tag] = placement
-        if now - self._refreshed_at_by_tag.get(service_tag, -REFRESH_S) >= REFRESH_S:
-            self._refreshed_at_by_tag[service_tag] = now
+            self._placement_by_service[service] = placement
+        if now - self._refreshed_at_by_service.get(service, -REFRESH_S) >= REFRESH_S:
+            self._refreshed_at_by_service[service] = now
             change = placement.refresh(candidates, self._report_by_agent, now)
             if change is not None:
-                self._unevenness_changes.append((service_tag, change))
+                self._unevenness_changes.append((service, change))
         return placement if placement.is_uneven else None
 
     def is_available(self, agent: str, now: float) -> bool:
--- a/libs/flows/tests/test_scored_candidates.py
+++ b/libs/flows/tests/test_scored_candidates.py
@@ -51,7 +51,7 @@
             assert explained.choose(CANDIDATES, is_long=is_long, now=now) == choice
             changes = undisturbed.take_unevenness_changes()
             assert explained.take_unevenness_changes() == changes
-        assert undisturbed.is_uneven(0) == is_uneven
+        assert undisturbed.is_uneven("") == is_uneven
         assert all((one.speed is not None) == is_uneven for one in scored)
 
     def test_an_explanation_judges_the_unevenness_only_for_itself(self):
@@ -61,7 +61,7 @@
         report_all(selector, is_uneven=True)
         scored = selector.explain(CANDIDATES, is_long=False, now=0.2)
         assert all(one.speed is not None for one in scored)
-        assert not selector.is_uneven(0)
+        assert not selector.is_uneven("")
         assert selector.choose(CANDIDATES, is_long=False, now=0.2) == scored[0].agent
         assert len(selector.take_unevenness_changes()) == 1
 
--- a/libs/flows/tests/test_work_placement.py
+++ b/libs/flows/tests/test_work_placement.py
@@ -58,7 +58,7 @@
         for agent, work_s in work_by_agent.items():
             selector.on_load_report(agent, report(work_s, samples=samples), 0.0)
         chosen = [selector.choose(CANDIDATES, is_long=is_long, now=0.0) for _ in range(30)]
-        return chosen, selector.is_uneven(0)
+        return chosen, selector.is_uneven("")
 
     @pytest.mark.parametrize("is_long", [False, True])
     @pytest.mark.parametrize(
@@ -115,7 +115,7 @@
                 work_s = FAST_S if is_fast(agent) else slow_s
                 selector.on_load_report(agent, report(work_s, samples=255), step)
             selector.choose(CANDIDATES, is_long=False, now=step)
-            states.append(selector.is_uneven(0))
+            states.append(selector.is_uneven(""))
         assert states == [True, True, False, False]
         changes = selector.take_unevenness_changes()
         assert [change.is_uneven for _, change in changes] == [True, False]
@@ -125,10 +125,10 @@
         # Guards against a service whose upstreams differ from those of another one.
         selector = uneven_selector()
         slow = [each for each in CANDIDATES if not is_fast(each.agent)]
-        selector.choose(slow, is_long=False, now=0.0, service_tag=1)
-        selector.choose(CANDIDATES, is_long=False, now=0.0, service_tag=2)
-        assert not selector.is_uneven(1)
-        assert selector.is_uneven(2)
+        selector.choose(slow, is_long=False, now=0.0, service="slow")
+        selector.choose(CANDIDATES, is_long=False, now=0.0, service="both")
+        assert not selector.is_uneven("slow")
+        assert selector.is_uneven("both")
 
 
 class TestShortFlows:
@@ -231,7 +231,7 @@
         # Guards against a handover from a fast upstream to an idle slow one.
         selector = uneven_selector()
         others = [each for each in CANDIDATES if not is_fast(each.agent)]
-        arguments = {"now": 0.0, "excluded": (), "service_tag": 0}
+        arguments = {"now": 0.0, "excluded": (), "service": ""}
         selector.choose(CANDIDATES, is_long=False, now=0.0)
         assert selector.is_quicker_here(others, own_s=0.02, **arguments)
         assert not selector.is_quicker_here(others, own_s=0.08, **arguments)
--- a/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/admission_control.py
@@ -17,7 +17,6 @@
 from laburnumbridge.flows.peer_datagrams import MAX_TRIED
 from laburnumbridge.flows.peer_datagrams import SearchStage
 from laburnumbridge.forwarding.forwarding_process import flow_text
-from laburnumbridge.forwarding.service_directory import service_tag
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -96,7 +95,7 @@
         reset: Callable[[FlowKey, int, str], None],
     ) -> None:
         self._process = process
-        self._service_tag = service_tag(service)
+        self._service = service
         self._flows = flows
         self._selector = selector
         self._outlier_detector = outlier_detector
@@ -141,7 +140,7 @@
         if self._is_evacuated() and self._drop_or_forget_tracked(packet.flow, now):
             return
         if self._flows.get(packet.flow) is None:
-            reason = self._reason_to_hand_over(envelope, now)
+            reason = self._reason_to_hand_over(packet, envelope, now)
             if reason is not None and self.hand_over(packet, envelope, reason, now):
                 return
             if reason not in (None, WARMING_UP, *OVERRIDABLE_REASONS):
@@ -237,22 +236,22 @@
             envelope = replace(envelope, tried=())
         if reason == "evacuated" and envelope.hops >= MAX_EVACUATION_HOPS:
             return False
-        others = self._process.directory.candidates(envelope.service_tag, now)
+        service = self._wanted_service(packet.flow, envelope)
+        others = self._process.directory.candidates(service, now)
         own_address = self._process.settings.address
         if reason == WARMING_UP:
             others = [one for one in others if self._selector.is_available(one.agent, now)]
-        tag = envelope.service_tag
         agent = self._selector.choose(
             others,
             is_long=False,
             now=now,
             excluded=(own_address, *envelope.tried),
-            service_tag=tag,
+            service=service,
         )
         if agent is None and reason not in (WARMING_UP, *OVERRIDABLE_REASONS):
             # All others were tried; one that was only busy may take the packet now.
             agent = self._selector.choose(
-                others, is_long=False, now=now, excluded=(own_address,), service_tag=tag
+                others, is_long=False, now=now, excluded=(own_address,), service=service
             )
         if agent is None:
             return False
@@ -372,11 +371,11 @@
 
     def _hand_over_to_idle(self, now: float) -> None:
         own_address = self._process.settings.address
-        others = self._process.directory.candidates(self._service_tag, now)
+        others = self._process.directory.candidates(self._service, now)
         while self._held_openings:
             if self._is_available():
                 agent = self._selector.choose_idle(
-                    others, now=now, excluded=(own_address,), service_tag=self._service_tag
+                    others, now=now, excluded=(own_address,), service=self._service
                 )
             else:
                 agent = self._selector.choose(
@@ -384,7 +383,7 @@
                     is_long=False,
                     now=now,
                     excluded=(own_address,),
-                    service_tag=self._service_tag,
+                    service=self._service,
                 )
             waiting = self._pop_next(now) if agent is not None else None
             if agent is None or waiting is None:
@@ -393,8 +392,10 @@
             reason = "evacuated" if self._is_evacuated() else "waiting"
             self._send_handover(waiting.flow, envelope, agent, reason, now)
 
-    def _reason_to_hand_over(self, envelope: Envelope, now: float) -> str | None:
-        if envelope.service_tag != self._service_tag:
+    def _reason_to_hand_over(
+        self, packet: FlowPacket, envelope: Envelope, now: float
+    ) -> str | None:
+        if self._wanted_service(packet.flow, envelope) != self._service:
             return "other_service"
         if self._is_evacuated():
             return "evacuated"
@@ -409,6 +410,12 @@
             return "failing"
         return None
 
+    def _wanted_service(self, flow: FlowKey, envelope: Envelope) -> str:
+        """Return the service that an opening packet is for."""
+        return self._process.directory.tagged_service(
+            envelope.service_tag, flow, preferred=self._service
+        )
+
     def _is_quicker_here(self, envelope: Envelope, now: float) -> bool:
         """Return whether the upstream's queue is expected to be quicker than any other upstream.
 
@@ -419,11 +426,11 @@
             return False
         own_s = self._expected_s(now)
         return own_s is not None and self._selector.is_quicker_here(
-            self._process.directory.candidates(envelope.service_tag, now),
+            self._process.directory.candidates(self._service, now),
             own_s=own_s,
             now=now,
             excluded=(self._process.settings.address, *envelope.tried),
-            service_tag=envelope.service_tag,
+            service=self._service,
         )
 
     @property
@@ -458,7 +465,7 @@
         A packet for another service is never held: held packets go to this agent's upstream.
         """
         is_ready = self._process.view.catalog.is_ready
-        if is_ready or envelope.service_tag != self._service_tag:
+        if is_ready or self._wanted_service(packet.flow, envelope) != self._service:
             self._reset(packet.flow, packet.acknowledged, reason)
         else:
             self._hold(packet, envelope, now)
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_balancer.py
@@ -187,16 +187,16 @@
         if agent is None:
             self._reset(packet, decision.refusal)
             return
-        tag = decision.tag
+        service = decision.service
         if decision.is_repeated:
-            self._send(packet, agent, tag, SearchStage.DIRECT, now)
+            self._send(packet, agent, service, SearchStage.DIRECT, now)
             return
         if decision.is_overflow:
             self.metrics.count("flows_overflowed_total")
         self._agent_by_flow.put(packet.flow, agent, now)
         self.metrics.count("flows_placed_total")
         self.metrics.count(
-            "placements_total", "uneven" if self._selector.is_uneven(tag) else "even"
+            "placements_total", "uneven" if self._selector.is_uneven(service) else "even"
         )
         self.log.write(
             Event.FLOW_PLACED,
@@ -208,13 +208,13 @@
             revision=self.view.catalog.revision,
             view_age_s=self.view_age_s(),
         )
-        self._send(packet, agent, tag, SearchStage.DIRECT, now)
+        self._send(packet, agent, service, SearchStage.DIRECT, now)
 
     def _decide(
         self, flow: FlowKey, route: Route, selector: UpstreamSelector, now: float
     ) -> OpeningDecision:
         """Decide where an opening packet goes, and count a placement at ``selector`` only."""
-        selected_tag = self._service_tag(route, flow)
+        selected_service = RouteIndex.service(route, flow)
         is_long = route.is_retryable and not route.is_transfer
         located_agent = self._agent_by_flow.get(flow, now)
         excluded: tuple[str, ...] = ()
@@ -223,32 +223,32 @@
             if selector.is_responsive(located_agent, now):
                 return OpeningDecision(
                     agent=located_agent,
-                    tag=self._located_tag(route, selected_tag, located_agent),
-                    selected_tag=selected_tag,
+                    service=self._located_service(route, selected_service, located_agent),
+                    selected_service=selected_service,
                     is_long=is_long,
                     located_agent=located_agent,
                     is_repeated=True,
                 )
             selector.avoid(located_agent, now + AVOID_S)
             excluded = (located_agent,)
-        candidates = self.directory.candidates(selected_tag, now)
+        candidates = self.directory.candidates(selected_service, now)
         overflow = self._overflow(
-            route, selected_tag, candidates, selector, is_long=is_long, excluded=excluded
+            route, selected_service, candidates, selector, is_long=is_long, excluded=excluded
         )
-        agent, tag = overflow or (
+        agent, service = overflow or (
             selector.choose(
-                candidates, is_long=is_long, now=now, excluded=excluded, service_tag=selected_tag
+                candidates, is_long=is_long, now=now, excluded=excluded, service=selected_service
             ),
-            selected_tag,
+            selected_service,
         )
         agent = agent or located_agent
         refusal = ""
         if agent is None:
-            refusal = "evacuated" if self.directory.is_evacuated(tag) else "no_upstream"
+            refusal = "evacuated" if self.directory.is_evacuated(service) else "no_upstream"
         return OpeningDecision(
             agent=agent,
-            tag=tag,
-            selected_tag=selected_tag,
+            service=service,
+            selected_service=selected_service,
             is_long=is_long,
             located_agent=located_agent,
             is_overflow=overflow is not None,
@@ -280,19 +280,19 @@
             )
         trial = self._selector.copy()
         decision = self._decide(flow, route, trial, now)
-        tag = decision.tag
-        candidates = self.directory.candidates(tag, now)
+        service = decision.service
+        candidates = self.directory.candidates(service, now)
         scored = self._selector.explain(
             candidates,
             is_long=decision.is_long,
             now=now,
             excluded=decision.excluded,
-            service_tag=tag,
+            service=service,
             only_idle=decision.is_overflow,
         )
         excluded = [
             ExcludedUpstream(agent=entry.address, failure_domain=entry.failure_domain, reason=why)
-            for entry, why in self.directory.excluded(tag)
+            for entry, why in self.directory.excluded(service)
         ]
         usable = {one.agent for one in scored}
         excluded += [
@@ -305,7 +305,6 @@
             if one.agent not in usable
         ]
         outcome = "overflow" if decision.is_overflow else decision.refusal or "placed"
-        name_by_tag = {service_tag(share.service): share.service for share in route.shares}
         return PlacementExplanation(
             process=process,
             flow=text,
@@ -315,9 +314,9 @@
             priority=route.priority,
             target_latency_ms=route.target_latency_ms,
             is_long=decision.is_long,
-            selected_service=name_by_tag[decision.selected_tag],
-            service=name_by_tag[tag],
-            method="uneven" if trial.is_uneven(tag) else "even",
+            selected_service=decision.selected_service,
+            service=service,
+            method="uneven" if trial.is_uneven(service) else "even",
             view_age_s=age_s,
             candidates=scored,
             excluded=excluded,
@@ -326,14 +325,14 @@
     def _overflow(
         self,
         route: Route,
-        tag: int,
+        service: str,
         candidates: Collection[Candidate],
         selector: UpstreamSelector,
         *,
         is_long: bool,
         excluded: Collection[str],
-    ) -> tuple[str, int] | None:
-        """Return an agent with a free slot and the tag of its service, another one of the route.
+    ) -> tuple[str, str] | None:
+        """Return an agent with a free slot and its service, another one of the route.
 
         It is None unless all upstreams of the selected service are known to be full. Only routes
         with a target latency and services with uneven upstreams overflow, so that the weights hold
@@ -341,45 +340,44 @@
         """
         if len(route.shares) == 1:
             return None
-        if not route.target_latency_ms and not selector.is_uneven(tag):
+        if not route.target_latency_ms and not selector.is_uneven(service):
             return None
         now = self.loop.now()
         if not selector.is_full(candidates, now):
             return None
         for share in route.shares:
-            other_tag = service_tag(share.service)
-            if not share.weight or other_tag == tag:
+            if not share.weight or share.service == service:
                 continue
             agent = selector.choose_idle(
-                self.directory.candidates(other_tag, now),
+                self.directory.candidates(share.service, now),
                 now=now,
                 is_long=is_long,
                 excluded=excluded,
-                service_tag=other_tag,
+                service=share.service,
             )
             if agent is not None:
-                return agent, other_tag
+                return agent, share.service
         return None
 
-    def _located_tag(self, route: Route, tag: int, agent: str) -> int:
-        """Return the tag of the service that the first copy of an opening packet was sent with."""
-        if len(route.shares) == 1 or self.directory.serves(agent, tag):
-            return tag
-        others = (service_tag(share.service) for share in route.shares)
-        return next((other for other in others if self.directory.serves(agent, other)), tag)
+    def _located_service(self, route: Route, service: str, agent: str) -> str:
+        """Return the service that the first copy of an opening packet was sent with."""
+        if len(route.shares) == 1 or self.directory.serves(agent, service):
+            return service
+        others = (share.service for share in route.shares)
+        return next((other for other in others if self.directory.serves(agent, other)), service)
 
     def _forward(self, packet: FlowPacket, route: Route, now: float) -> None:
-        tag = self._service_tag(route, packet.flow)
+        service = RouteIndex.service(route, packet.flow)
         agent = self._agent_by_flow.touch(packet.flow, now)
         # An agent of any service: the route may have moved to another one since the flow opened.
         is_usable = agent in self.directory.listed_agents or (
             agent is not None and self._selector.is_responsive(agent, now)
         )
         if agent is not None and is_usable:
-            self._send(packet, agent, tag, SearchStage.DIRECT, now)
+            self._send(packet, agent, service, SearchStage.DIRECT, now)
             return
         # No location, or an agent that is no longer listed and is unresponsive.
-        step = self.directory.search_order(tag).first_step(
+        step = self.directory.search_order(service_tag(service)).first_step(
             packet.flow,
             attempt=self._search_attempt(packet.flow, now),
             is_responsive=lambda agent: self._selector.is_responsive(agent, now),
@@ -391,7 +389,7 @@
         self.log.write(
             Event.FLOW_SEARCHED, outcome="unknown", flow=flow_text(packet.flow), agent=step.agent
         )
-        self._send(packet, step.agent, tag, step.stage, now)
+        self._send(packet, step.agent, service, step.stage, now)
 
     def _search_attempt(self, flow: FlowKey, now: float) -> int:
         """Return how many searches for the flow were left unanswered."""
@@ -409,11 +407,8 @@
             # This view may lag: another balancer, with a newer configuration, may have opened it.
             self.drop("no_route", flow=flow_text(packet.flow))
 
-    def _service_tag(self, route: Route, flow: FlowKey) -> int:
-        return service_tag(RouteIndex.service(route, flow))
-
     def _send(
-        self, packet: FlowPacket, agent: str, tag: int, stage: SearchStage, now: float
+        self, packet: FlowPacket, agent: str, service: str, stage: SearchStage, now: float
     ) -> None:
         self.metrics.count("packets_forwarded_total")
         self._selector.on_sent(agent, now)
@@ -421,7 +416,7 @@
         envelope = Envelope(
             stage=stage,
             hops=0,
-            service_tag=tag,
+            service_tag=service_tag(service),
             entry_address=self.settings.address,
             raw=packet.raw,
         )
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -72,6 +72,7 @@
         self.loop = loop
         self._started_at = loop.now()
         self._had_first_view = False
+        self._reported_collisions: list[tuple[str, ...]] = []
         self.network = network
         self.settings = settings
         self._settings_path = settings_path
@@ -183,11 +184,11 @@
 
     def report_unevenness(self, selector: UpstreamSelector) -> None:
         """Log the services whose upstreams ``selector`` has found to be uneven or even again."""
-        for tag, change in selector.take_unevenness_changes():
+        for service, change in selector.take_unevenness_changes():
             self.log.write(
                 Event.UPSTREAMS_UNEVEN,
                 outcome="entered" if change.is_uneven else "left",
-                service=self.directory.service_name(tag),
+                service=service,
                 slowest_s=round(change.slowest_s, 4),
                 fastest_s=round(change.fastest_s, 4),
             )
@@ -218,11 +219,20 @@
         for entry in self.directory.unconfigured(update):
             reason = f"service {entry.service!r} isn't configured"
             self.log.write(Event.ITEM_IGNORED, key=entry.name, reason=reason)
+        self._report_collisions()
         if not self._had_first_view and self.view.catalog.is_ready:
             self._had_first_view = True
             self.metrics.observe("first_view_seconds", self.loop.now() - self._started_at)
         self.on_view_change(update)
 
+    def _report_collisions(self) -> None:
+        """Log services that have become known and have the same tag."""
+        collisions = self.directory.colliding_services
+        for services in collisions:
+            if services not in self._reported_collisions:
+                self.log.write(Event.SERVICES_COLLIDE, services=services)
+        self._reported_collisions = collisions
+
     def _serve_readiness(self, _path: str) -> tuple[int, bytes]:
         reason = self.unready_reason
         return (200, b"ready\n") if reason is None else (503, f"{reason}\n".encode())
--- a/libs/forwarding/src/laburnumbridge/forwarding/opening_decision.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/opening_decision.py
@@ -13,16 +13,16 @@
 class OpeningDecision(msgspec.Struct, frozen=True, kw_only=True):
     """Where an opening packet goes, and the inputs of the selection.
 
-    ``agent`` is None if the packet is refused, for ``refusal``. ``tag`` is that of the service of
-    ``agent``, and ``selected_tag`` that of the service which the flow's hash selects; they differ
-    after an overflow. ``located_agent`` has been sent an earlier copy of the packet. A packet that
+    ``agent`` is None if the packet is refused, for ``refusal``. ``service`` is that
+    of ``agent``, and ``selected_service`` the one which the flow's hash selects; they differ after
+    an overflow. ``located_agent`` has been sent an earlier copy of the packet. A packet that
     ``is_repeated`` goes there again, without a placement. ``candidates`` are those of the selected
     service, and ``excluded`` are the agents among them that can't be chosen.
     """
 
     agent: str | None
-    tag: int
-    selected_tag: int
+    service: str
+    selected_service: str
     is_long: bool
     located_agent: str | None = None
     is_repeated: bool = False
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -31,7 +31,11 @@
 
 @lru_cache(maxsize=SERVICE_TAG_CACHE_SIZE)
 def service_tag(service: str) -> int:
-    """Return the 32-bit tag of a service in envelopes."""
+    """Return the 32-bit tag of a service in envelopes.
+
+    Services are told apart by their names; ``ServiceDirectory.tagged_service`` returns the one that
+    a tag stands for, also where names have the same tag.
+    """
     return zlib.crc32(service.encode())
 
 
@@ -55,8 +59,9 @@
         self._known_services: frozenset[str] = frozenset()
         self._entry_by_name: dict[str, UpstreamEntry] = {}
         self._entry_by_upstream: dict[_Upstream, UpstreamEntry] = {}
-        self._entries_by_tag: dict[int, list[UpstreamEntry]] = {}
+        self._entries_by_service: dict[str, list[UpstreamEntry]] = {}
         self._ranking_by_tag: dict[int, AgentRanking] = {}
+        self._services_by_tag: dict[int, tuple[str, ...]] = {}
         self._warm_up_ends_at_by_name: dict[str, float] = {}
         self.agent_ranking = _NO_AGENTS
         self.listed_agents: frozenset[str] = frozenset()
@@ -100,7 +105,13 @@
             configuration.services,
             (share.service for route in configuration.routes for share in route.shares),
         )
-        return before != self._known_services
+        if before == self._known_services:
+            return False
+        services_by_tag: dict[int, list[str]] = {}
+        for service in sorted(self._known_services):
+            services_by_tag.setdefault(service_tag(service), []).append(service)
+        self._services_by_tag = {tag: tuple(names) for tag, names in services_by_tag.items()}
+        return True
 
     def _rebuild_agents(self, now: float) -> None:
         before = set(self.agent_ranking.agents)
@@ -111,13 +122,14 @@
             (entry.address, entry.port, entry.service): entry
             for entry in sorted(entries, key=lambda entry: (entry.started_ms, entry.revision))
         }
-        self._entries_by_tag = {}
+        self._entries_by_service = {}
+        agents_by_tag: dict[int, list[str]] = {}
         for entry in self._entry_by_upstream.values():
             if entry.service in self._known_services:
-                self._entries_by_tag.setdefault(service_tag(entry.service), []).append(entry)
+                self._entries_by_service.setdefault(entry.service, []).append(entry)
+                agents_by_tag.setdefault(service_tag(entry.service), []).append(entry.address)
         self._ranking_by_tag = {
-            tag: AgentRanking(agents=[entry.address for entry in entries])
-            for tag, entries in self._entries_by_tag.items()
+            tag: AgentRanking(agents=agents) for tag, agents in agents_by_tag.items()
         }
         self.agent_ranking = AgentRanking(
             agents=[agent for ranking in self._ranking_by_tag.values() for agent in ranking.agents]
@@ -149,14 +161,31 @@
         """Return when the warm-up of the upstream with this entry ends; 0 if it isn't known."""
         return self._warm_up_ends_at_by_name.get(name, 0.0)
 
-    def serves(self, agent: str, tag: int) -> bool:
+    def serves(self, agent: str, service: str) -> bool:
         """Return whether an upstream of the service is listed at the address of ``agent``."""
-        return any(entry.address == agent for entry in self._entries_by_tag.get(tag, ()))
+        return any(entry.address == agent for entry in self._entries_by_service.get(service, ()))
 
-    def service_name(self, tag: int) -> str:
-        """Return the name of a service that has upstreams, or an empty string."""
-        entries = self._entries_by_tag.get(tag)
-        return entries[0].service if entries else ""
+    @property
+    def colliding_services(self) -> list[tuple[str, ...]]:
+        """The names of known services that have the same tag, for each such tag."""
+        return [names for names in self._services_by_tag.values() if len(names) > 1]
+
+    def tagged_service(self, tag: int, flow: FlowKey, *, preferred: str) -> str:
+        """Return the service that a packet of ``flow`` with the tag is for, or an empty string.
+
+        Of services with the same tag it is the one that the flow's route names; of several there,
+        and of those of an unknown route, ``preferred`` comes first.
+        """
+        names = self._services_by_tag.get(tag, ())
+        if preferred not in names and service_tag(preferred) == tag:
+            names = (*names, preferred)
+        if len(names) < 2:
+            return names[0] if names else ""
+        route = self.route(flow)
+        shares = [] if route is None else [each for each in route.shares if each.service in names]
+        weighted = [share.service for share in shares if share.weight]
+        possible = weighted or [share.service for share in shares] or names
+        return preferred if preferred in possible else possible[0]
 
     def search_order(self, tag: int) -> SearchOrder:
         """Return the order of search for flows of a route whose service now has the tag."""
@@ -164,17 +193,17 @@
             agents=self.agent_ranking, service_agents=self._ranking_by_tag.get(tag, _NO_AGENTS)
         )
 
-    def is_evacuated(self, tag: int) -> bool:
+    def is_evacuated(self, service: str) -> bool:
         """Return whether a service has upstreams that don't drain, all in evacuated domains."""
         evacuated = self._catalog.evacuated_domains
         domains = {
             entry.failure_domain
-            for entry in self._entries_by_tag.get(tag, ())
+            for entry in self._entries_by_service.get(service, ())
             if not entry.is_draining
         }
         return bool(domains) and domains <= evacuated
 
-    def candidates(self, tag: int, now: float) -> list[Candidate]:
+    def candidates(self, service: str, now: float) -> list[Candidate]:
         """Return the agents of a service that have an upstream which isn't draining.
 
         Upstreams in evacuated failure domains are left out, also if there are no others.
@@ -194,17 +223,17 @@
                     else 1.0
                 ),
             )
-            for entry in self._entries_by_tag.get(tag, ())
+            for entry in self._entries_by_service.get(service, ())
             if _exclusion(entry, evacuated) is None
         }
         return list(candidate_by_agent.values())
 
-    def excluded(self, tag: int) -> list[tuple[UpstreamEntry, str]]:
+    def excluded(self, service: str) -> list[tuple[UpstreamEntry, str]]:
         """Return the upstreams of a service that aren't candidates, each with the reason."""
         evacuated = self._catalog.evacuated_domains
         return [
             (entry, reason)
-            for entry in self._entries_by_tag.get(tag, ())
+            for entry in self._entries_by_service.get(service, ())
             if (reason := _exclusion(entry, evacuated)) is not None
         ]
 
--- a/libs/forwarding/tests/test_foreign_entries.py
+++ b/libs/forwarding/tests/test_foreign_entries.py
@@ -4,7 +4,6 @@
 from msgspec.structs import replace
 
 from laburnumbridge.core import Event
-from laburnumbridge.forwarding.service_directory import service_tag
 from laburnumbridge.standins.flows.process_settings import SECOND_SERVICE_NAME
 from laburnumbridge.standins.flows.process_settings import SERVICE
 from laburnumbridge.standins.flows.process_settings import UPSTREAM_PORT
@@ -151,9 +150,7 @@
         agents = {
             candidate.agent
             for process in fleet.process_by_address.values()
-            for candidate in process.directory.candidates(
-                service_tag(UNCONFIGURED), fleet.simulation.now
-            )
+            for candidate in process.directory.candidates(UNCONFIGURED, fleet.simulation.now)
         }
         assert agents == {added}
 
--- a/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/platform_data.py
@@ -24,6 +24,7 @@
 SERVICES = (SERVICE_NAME, SECOND_SERVICE_NAME)
 ONE_SERVICE = MappingProxyType({SERVICE_NAME: 1})
 NO_PRIORITIES: Mapping[Endpoint, int] = MappingProxyType({})
+NO_WEIGHTS: Mapping[Endpoint, Mapping[str, int]] = MappingProxyType({})
 
 
 def make_configuration(
@@ -35,11 +36,14 @@
     services: tuple[str, ...] = SERVICES,
     target_latency_ms: int = 0,
     priority_by_endpoint: Mapping[Endpoint, int] = NO_PRIORITIES,
+    weights_by_endpoint: Mapping[Endpoint, Mapping[str, int]] = NO_WEIGHTS,
     warm_up_s: float = 0.0,
     openings_per_s: float = 0.2,
 ) -> RoutingConfiguration:
     """Return routes from ``endpoints``; ``timeout_ms`` 0 is no time-out.
 
+    ``weight_by_service`` applies to the endpoints that ``weights_by_endpoint`` leaves out.
+
     Upstreams are cold for ``warm_up_s`` after their start, and take ``openings_per_s`` then.
     """
     return RoutingConfiguration(
@@ -51,7 +55,9 @@
                 port=port,
                 shares=tuple(
                     ServiceShare(service=service, weight=weight)
-                    for service, weight in weight_by_service.items()
+                    for service, weight in weights_by_endpoint.get(
+                        (address, port), weight_by_service
+                    ).items()
                 ),
                 is_retryable=False,
                 is_transfer=False,
--- a/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/simulated_fleet.py
@@ -17,7 +17,7 @@
 from laburnumbridge.forwarding.forwarding_settings import load_forwarding_settings
 from laburnumbridge.standins.flows.client_stand_in import ClientStandIn
 from laburnumbridge.standins.flows.platform_data import NO_PRIORITIES
-from laburnumbridge.standins.flows.platform_data import ONE_SERVICE
+from laburnumbridge.standins.flows.platform_data import NO_WEIGHTS
 from laburnumbridge.standins.flows.platform_data import SERVICES
 from laburnumbridge.standins.flows.platform_data import entry_name
 from laburnumbridge.standins.flows.platform_data import make_configuration
@@ -27,9 +27,7 @@
 from laburnumbridge.standins.flows.process_settings import CONTROL_PORT
 from laburnumbridge.standins.flows.process_settings import OUTPUT_PORT
 from laburnumbridge.standins.flows.process_settings import PACKET_PORT
-from laburnumbridge.standins.flows.process_settings import SECOND_SERVICE_NAME
 from laburnumbridge.standins.flows.process_settings import SERVICE
-from laburnumbridge.standins.flows.process_settings import SERVICE_NAME
 from laburnumbridge.standins.flows.process_settings import UPSTREAM_PORT
 from laburnumbridge.standins.flows.process_settings import process_settings
 from laburnumbridge.standins.flows.simulation import SimulatedLoop
@@ -78,9 +76,9 @@
 
     The fabric selects the balancer of a flow by its hash modulo the length of ``rotation``, so a
     change of it moves nearly all flows to other balancers. ``second_service_agents`` are the agents
-    beside upstreams of the second service; the first configuration has no route to it. Processes
-    and upstreams are spread over ``failure_domains`` in turn. ``extra_settings`` are added to the
-    settings of each process.
+    beside upstreams of the second one of ``services``; the first configuration has no route to it.
+    Processes and upstreams are spread over ``failure_domains`` in turn. ``extra_settings`` are
+    added to the settings of each process.
     """
 
     def __init__(
@@ -90,6 +88,7 @@
         balancers: int = 3,
         agents: int = 4,
         second_service_agents: int = 0,
+        services: tuple[str, str] = SERVICES,
         slots: int = 4,
         work_s: float = 0.06,
         failure_domains: Sequence[str] = ("north",),
@@ -97,6 +96,7 @@
     ) -> None:
         self.simulation = Simulation()
         self._directory = directory
+        self.services = services
         self._slots = slots
         self._work_s = work_s
         self._failure_domains = failure_domains
@@ -120,9 +120,12 @@
             **self._make_loop_and_network(CLIENT[0]), endpoint=CLIENT, fabric=self._route
         )
 
-    def start(self) -> None:
-        """Start everything and run for two simulated seconds, until all have the view."""
-        self.configure(version=1)
+    def start(self, *, services: tuple[str, ...] | None = None) -> None:
+        """Start everything and run for two simulated seconds, until all have the view.
+
+        ``services`` are those of the first configuration, as in ``configure``.
+        """
+        self.configure(version=1, services=services)
         self.client.start()
         for address in self.agents:
             self.start_upstream(address)
@@ -136,23 +139,29 @@
         version: int,
         endpoints: tuple[Endpoint, ...] = (SERVICE,),
         timeout_ms: int = 0,
-        weight_by_service: Mapping[str, int] = ONE_SERVICE,
-        services: tuple[str, ...] = SERVICES,
+        weight_by_service: Mapping[str, int] | None = None,
+        services: tuple[str, ...] | None = None,
         target_latency_ms: int = 0,
         priority_by_endpoint: Mapping[Endpoint, int] = NO_PRIORITIES,
+        weights_by_endpoint: Mapping[Endpoint, Mapping[str, int]] = NO_WEIGHTS,
         warm_up_s: float = 0.0,
         openings_per_s: float = 0.2,
     ) -> None:
-        """Publish a configuration with routes from ``endpoints``."""
+        """Publish a configuration with routes from ``endpoints``.
+
+        Without ``weight_by_service`` they lead to the first one of the fleet's services, all of
+        which are configured without ``services``.
+        """
         self.platform.configure(
             make_configuration(
                 version,
                 endpoints,
                 timeout_ms=timeout_ms,
-                weight_by_service=weight_by_service,
-                services=services,
+                weight_by_service=weight_by_service or {self.services[0]: 1},
+                services=self.services if services is None else services,
                 target_latency_ms=target_latency_ms,
                 priority_by_endpoint=priority_by_endpoint,
+                weights_by_endpoint=weights_by_endpoint,
                 warm_up_s=warm_up_s,
                 openings_per_s=openings_per_s,
             )
@@ -297,4 +306,4 @@
         return settings | dict(self._extra_settings)
 
     def _service(self, address: str) -> str:
-        return SECOND_SERVICE_NAME if address in self.second_service_agents else SERVICE_NAME
+        return self.services[address in self.second_service_agents]
