Search the agents of all listed upstreams for open flows

The agents that a search asks, the directory nodes and the agents asked for records were those of services that are configured or were while the process has run, so a process that started later never asked the agents that hold the flows, and the last one that it did ask reset them. Change: rankings depend on the view alone. Agents of configured services come first, those of all other listed upstreams are asked as well. Entries of other writers at addresses without an agent look the same, so agents probe such addresses (AgentContacts); the silence of one that has never answered doesn't keep a search from ending. The line of a not_found reset has the number of agents, and of those that never answered. The random model of restarts and faults also plays dropped services.

--- a/libs/flows/src/laburnumbridge/flows/__init__.py
+++ b/libs/flows/src/laburnumbridge/flows/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from laburnumbridge.flows.agent_contacts import AgentContacts
 from laburnumbridge.flows.agent_ranking import AgentRanking
 from laburnumbridge.flows.candidate import Candidate
 from laburnumbridge.flows.errors import MalformedPacketError
@@ -38,6 +39,7 @@
 from laburnumbridge.flows.work_placement import WorkPlacement
 
 __all__ = [
+    "AgentContacts",
     "AgentRanking",
     "Ask",
     "Candidate",
--- a/libs/flows/src/laburnumbridge/flows/flow_inquiry.py
+++ b/libs/flows/src/laburnumbridge/flows/flow_inquiry.py
@@ -54,7 +54,8 @@
     It ends with the first agent that holds the flow, or after all have answered, or after
     ``repeats`` repetitions for those that are silent. A record counts once the agent that it names
     doesn't deny it, and names only agents in ``listed``. Agents of the previous version don't know
-    queries; they aren't waited for.
+    queries; they aren't waited for. Those in ``optional`` may not exist: they aren't asked again,
+    and don't count as silent.
     """
 
     def __init__(
@@ -64,8 +65,10 @@
         listed: Container[str],
         repeats: int = REPEATS,
         uses_records: bool = True,
+        optional: Container[str] = (),
     ) -> None:
         self._agents = agents
+        self._optional = optional
         self._listed = listed
         self._unaware: set[str] = set()
         self._repeats_left = repeats
@@ -123,7 +126,9 @@
             agents, self._waiting = self._waiting[:count], self._waiting[count:]
             return self._ask(agents, now, FIRST_TIMEOUT_S if is_first else ANSWER_TIMEOUT_S)
         known = self._presence_by_agent.keys() | self._unaware
-        silent = tuple(agent for agent in self._agents if agent not in known)
+        silent = tuple(
+            agent for agent in self._agents if agent not in known and agent not in self._optional
+        )
         missing = silent if self._named is None else (self._named,)
         if missing and self._repeats_left and self._closed_at is None and not self._unaware:
             return self._repeat(missing, now)
--- a/libs/flows/src/laburnumbridge/flows/search_order.py
+++ b/libs/flows/src/laburnumbridge/flows/search_order.py
@@ -36,6 +36,10 @@
 class SearchOrder:
     """Asks a flow's directory nodes, then the agents of its route's service, then all others.
 
+    ``agents`` are those of all services that are configured, and ``service_agents`` those of the
+    flow's route. ``all_agents`` has those of other services as well, which the operator may have
+    dropped while flows are open there; without it there are none.
+
     A route may have moved to another service, or its weights may have changed, while the flow
     stays where it is. So directory nodes are taken from the agents of all services: processes with
     different configurations agree on them, and a search takes two hops however many agents the
@@ -45,9 +49,16 @@
     between agents with different views.
     """
 
-    def __init__(self, *, agents: AgentRanking, service_agents: AgentRanking) -> None:
+    def __init__(
+        self,
+        *,
+        agents: AgentRanking,
+        service_agents: AgentRanking,
+        all_agents: AgentRanking | None = None,
+    ) -> None:
         self._agents = agents
         self._service_agents = service_agents
+        self._all_agents = agents if all_agents is None else all_agents
 
     def first_step(
         self,
@@ -62,6 +73,10 @@
         skipped while another one of the ``SEARCH_STARTS`` first agents is responsive.
         """
         nodes = self._agents.directory_nodes(flow, SEARCH_STARTS)
+        if len(nodes) < SEARCH_STARTS:
+            # Few agents are left of the configured services; any other one can search as well.
+            ranked = self._all_agents.directory_nodes(flow, 2 * SEARCH_STARTS)
+            nodes += [agent for agent in ranked if agent not in nodes][: SEARCH_STARTS - len(nodes)]
         if not nodes:
             return None
         start = attempt % len(nodes)
@@ -73,7 +88,7 @@
         """Return the first agent of the ranking, which may be the asking one; None without any."""
         agent = self._service_agents.first(flow)
         if agent is None:
-            return self._other_service_step(self._agents.first(flow))
+            return self._other_service_step(self._all_agents.first(flow))
         stage = SearchStage.RANKED if uses_records else SearchStage.RANKED_NO_RECORDS
         return SearchStep(agent=agent, stage=stage)
 
@@ -87,7 +102,7 @@
             if node is not None:
                 return SearchStep(agent=node, stage=SearchStage.DIRECTORY)
         if stage is SearchStage.OTHER_SERVICES:
-            following = self._agents.next_after(flow, agent, excluded=self._service_agents)
+            following = self._all_agents.next_after(flow, agent, excluded=self._service_agents)
             return self._other_service_step(following)
         if stage in _WALK_AFTER:
             # A directory node hasn't tried its own upstream yet, so its turn in the walk comes.
@@ -99,7 +114,7 @@
             following = self._service_agents.next_after(flow, agent)
         if following is not None:
             return SearchStep(agent=following, stage=_WALK_AFTER.get(stage, stage))
-        return self._other_service_step(self._agents.first(flow, excluded=self._service_agents))
+        return self._other_service_step(self._all_agents.first(flow, excluded=self._service_agents))
 
     def _next_directory_node(self, flow: FlowKey, agent: str, stage: SearchStage) -> str | None:
         nodes = self._agents.directory_nodes(flow, DIRECTORY_NODES)
--- a/libs/flows/tests/test_flow_inquiry.py
+++ b/libs/flows/tests/test_flow_inquiry.py
@@ -107,6 +107,22 @@
         assert seconds == 0
 
 
+class TestOptionalAgents:
+    def test_their_silence_doesnt_keep_the_search_from_ending(self):
+        # Guards against clients of lost flows that wait since another writer has published an
+        # address without an agent.
+        answers = {FIRST: ABSENT, SECOND: ABSENT}
+        result, seconds, queries = run(inquiry(optional={THIRD}), answers)
+        assert (result.holder, result.silent, result.uncertain) == (None, (), ())
+        assert seconds <= 2 * ANSWER_TIMEOUT_S
+        assert queries == len(AGENTS)
+
+    def test_their_answer_counts(self):
+        # Guards against the flows of an agent that was taken for nonexistent.
+        answers = {FIRST: ABSENT, SECOND: ABSENT, THIRD: (FlowPresence.OPEN, THIRD)}
+        assert run(inquiry(optional={THIRD}), answers)[0].holder == THIRD
+
+
 class TestSize:
     @pytest.mark.parametrize("size", [10, 100, 1_000, 8_500])
     @given(seed=st.integers(0, 1_000))
--- a/libs/flows/tests/test_search_order.py
+++ b/libs/flows/tests/test_search_order.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -16,9 +17,13 @@
 STARTS = st.sampled_from(STAGES_BEFORE_WALK)
 
 
-def order(agents: list[str], service_agents: list[str]) -> SearchOrder:
+def order(
+    agents: list[str], service_agents: list[str], all_agents: list[str] | None = None
+) -> SearchOrder:
     return SearchOrder(
-        agents=AgentRanking(agents=agents), service_agents=AgentRanking(agents=service_agents)
+        agents=AgentRanking(agents=agents),
+        service_agents=AgentRanking(agents=service_agents),
+        all_agents=None if all_agents is None else AgentRanking(agents=all_agents),
     )
 
 
@@ -78,6 +83,28 @@
         assert step is not None
         assert step.agent == nodes[0]
 
+    @settings(derandomize=True, deadline=None)
+    @given(FLOWS, VIEWS, VIEWS, st.data(), STARTS)
+    def test_agents_of_other_services_are_tried_last(self, flow, agents, further, data, start):
+        # Guards against a walk that ends with the agents of configured services.
+        everyone = list({*agents, *further})
+        if not everyone:
+            return
+        service = data.draw(st.lists(st.sampled_from(agents), unique=True)) if agents else []
+        one = order(agents, service, everyone)
+        visited = search(flow, lambda _agent: one, data.draw(st.sampled_from(everyone)), start)
+        tried = [agent for agent, stage in visited if stage is not SearchStage.DIRECTORY]
+        assert set(tried) == set(everyone)
+
+    @pytest.mark.parametrize("count", range(6))
+    def test_a_search_begins_elsewhere_if_few_agents_are_configured(self, count):
+        # Guards against packets that are lost while the only agents of the configuration restart.
+        one = order(AGENTS[:count], AGENTS[:count], AGENTS)
+        starts = [one.first_step(FlowKey(bytes(12)), attempt=number) for number in range(4)]
+        agents = {step.agent for step in starts if step is not None}
+        assert len(agents) == 4
+        assert set(AGENTS[:count]) <= agents or agents <= set(AGENTS[:count])
+
     def test_without_agents_there_is_no_step(self):
         # Guards against an error in a process that has no view yet.
         assert order([], []).first_step(FlowKey(bytes(12))) is None
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -10,6 +10,7 @@
 
 from laburnumbridge.core import Event
 from laburnumbridge.core import hash64
+from laburnumbridge.flows import AgentContacts
 from laburnumbridge.flows import ExpiringMap
 from laburnumbridge.flows import FlowLocations
 from laburnumbridge.flows import FlowState
@@ -56,6 +57,8 @@
 from laburnumbridge.forwarding.warm_up_control import WarmUpControl
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from laburnumbridge.catalog import CatalogUpdate
     from laburnumbridge.catalog import UpstreamEntry
     from laburnumbridge.flows import FlowKey
@@ -130,10 +133,12 @@
         )
         self._delivered_by_echo: dict[int, tuple[FlowKey, Envelope]] = {}
         self._next_echo = 1
+        self._contacts = AgentContacts()
         self._inquiries = FlowInquiries(process=self, presence=self._presence)
         self._search = FlowSearch(
             process=self,
             inquiries=self._inquiries,
+            contacts=self._contacts,
             forward=self._forward,
             reset=partial(self._reset, reason="not_found"),
         )
@@ -224,6 +229,7 @@
         if update.entries or update.removals:
             self._selector.retain(self.directory.listed_agents)
             self._detail_requester.retain(self.directory.listed_agents)
+            self._contacts.retain(self.directory.listed_agents)
         if self._upstream.is_down and not self._has_draining_upstream:
             self._reset_open_flows()
 
@@ -317,6 +323,9 @@
             self.drop("peer_malformed", peer=sender[0], fault=error.reason)
         except MalformedPacketError as error:
             self.drop(error.reason, peer=sender[0], size=error.size)
+        else:
+            if kind != DatagramKind.PACKET:
+                self._contacts.on_heard(sender[0])
 
     def _on_probe(self, datagram: bytes, sender: Endpoint, now: float) -> None:
         if requests_detail(datagram):
@@ -479,8 +488,8 @@
         agent = self._admission.handover_agent(flow, now)
         self._refusal_check.refuse(flow, acknowledged, reason, handover_agent=agent, now=now)
 
-    def _reset(self, flow: FlowKey, acknowledged: int, reason: str) -> None:
-        reset = self.reset_flow(flow, acknowledged=acknowledged, reason=reason)
+    def _reset(self, flow: FlowKey, acknowledged: int, reason: str, **fields: object) -> None:
+        reset = self.reset_flow(flow, acknowledged=acknowledged, reason=reason, **fields)
         self._outputs.send(reset, self.client_endpoint(flow))
 
     # Upkeep.
@@ -488,6 +497,7 @@
     def _upkeep(self) -> None:
         now = self.loop.now()
         self._request_records(now)
+        self._probe_unconfigured(now)
         self._admission.upkeep(now)
         self.report_unevenness(self._selector)
         for envelope in self._upstream.take_unanswered(now):
@@ -598,12 +608,18 @@
         if self._record_recovery.is_complete:
             return
         self._send_due_records(now)
-        agents = self.directory.agent_ranking.agents
-        others = [agent for agent in agents if agent != self.settings.address]
-        for agent in self._record_recovery.due(others, now):
+        for agent in self._record_recovery.due(self._others(self.directory.all_agents), now):
             request = bytes((DatagramKind.RECORDS_REQUEST,))
             self.peers.send(request, (agent, self.settings.peer_port))
 
+    def _probe_unconfigured(self, now: float) -> None:
+        """Find out at which addresses of services that aren't configured an agent runs."""
+        for agent in self._contacts.due(self._others(self.directory.unconfigured_agents), now):
+            self.peers.send(bytes((DatagramKind.PROBE,)), (agent, self.settings.peer_port))
+
+    def _others(self, agents: Iterable[str]) -> list[str]:
+        return [agent for agent in agents if agent != self.settings.address]
+
     def _send_recovered_records(self, agent: str, now: float) -> None:
         """Answer an agent's request for records; an empty datagram says that there are none."""
         records = self._locations.records_for(agent, now)
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_inquiries.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_inquiries.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Container
     from collections.abc import Sequence
 
     from laburnumbridge.flows import FlowKey
@@ -56,8 +57,12 @@
         *,
         uses_records: bool = True,
         is_repeated: bool = True,
+        optional: Container[str] = (),
     ) -> bool:
-        """Ask ``agents`` for ``flow``; return False if too many inquiries are running."""
+        """Ask ``agents`` for ``flow``; return False if too many inquiries are running.
+
+        Those in ``optional`` may not exist.
+        """
         if len(self._running_by_flow) >= INQUIRIES_LIMIT:
             return False
         inquiry = FlowInquiry(
@@ -65,6 +70,7 @@
             listed=self._process.directory.listed_agents,
             repeats=REPEATS if is_repeated else 0,
             uses_records=uses_records,
+            optional=optional,
         )
         running = _RunningInquiry(inquiry=inquiry, on_result=on_result)
         self._running_by_flow.setdefault(flow, []).append(running)
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_search.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_search.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from laburnumbridge.flows import AgentContacts
     from laburnumbridge.flows import FlowKey
     from laburnumbridge.flows import FlowPacket
     from laburnumbridge.flows import InquiryResult
@@ -53,7 +54,11 @@
     the flow does the packet visit those that can't tell. Agents of a version that doesn't answer
     queries are searched by forwarding the packet along the ranking.
 
-    Calls ``reset`` with the flow and the acknowledged sequence number once no agent can hold it.
+    Agents of services that aren't configured are asked as well. Only if nobody has ever answered at
+    such an address, as ``contacts`` tell, its silence doesn't keep the search from ending.
+
+    Calls ``reset`` with the flow, the acknowledged sequence number and fields for the log once no
+    agent can hold it.
     """
 
     def __init__(
@@ -61,11 +66,13 @@
         *,
         process: ForwardingProcess,
         inquiries: FlowInquiries,
+        contacts: AgentContacts,
         forward: Callable[[Envelope, str, SearchStage], None],
-        reset: Callable[[FlowKey, int], None],
+        reset: Callable[..., None],
     ) -> None:
         self._process = process
         self._inquiries = inquiries
+        self._contacts = contacts
         self._forward = forward
         self._reset = reset
         self._pending_repeats = 0
@@ -106,8 +113,9 @@
         self._waiting_by_flow[packet.flow] = [(packet, envelope)]
         is_started = self._inquiries.start(
             packet.flow,
-            self._process.directory.agent_ranking.ranked(packet.flow),
+            self._ranked_agents(packet.flow),
             partial(self._on_result, packet.flow),
+            optional=self._unanswered(now),
             # A packet in stage RECORDED has followed a record to an agent without the flow.
             uses_records=envelope.stage is not SearchStage.RECORDED,
         )
@@ -115,6 +123,15 @@
             del self._waiting_by_flow[packet.flow]
             self._walk_from_first(packet, envelope, now)
 
+    def _ranked_agents(self, flow: FlowKey) -> list[str]:
+        """Return all agents in the order for a flow, those of configured services first."""
+        directory = self._process.directory
+        return [*directory.agent_ranking.ranked(flow), *directory.further_ranking.ranked(flow)]
+
+    def _unanswered(self, now: float) -> frozenset[str]:
+        """Return the addresses at which no agent seems to run."""
+        return self._contacts.unanswered(self._process.directory.unconfigured_agents, now)
+
     def _on_result(self, flow: FlowKey, result: InquiryResult) -> None:
         waiting = self._waiting_by_flow.pop(flow)
         if result.holder is not None:
@@ -154,7 +171,9 @@
 
         The second directory node would only ask the same agents again.
         """
-        order = self._process.directory.search_order(envelope.service_tag)
+        order = self._process.directory.search_order(
+            envelope.service_tag, excluded=self._unanswered(now)
+        )
         uses_records = envelope.stage is not SearchStage.RECORDED
         step = order.first_walk_step(packet.flow, uses_records=uses_records)
         if step is None:
@@ -165,7 +184,10 @@
 
     def _walk(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         """Forward a packet to the next agent of the ranking, or end the search."""
-        step = self._process.directory.search_order(envelope.service_tag).next_step(
+        order = self._process.directory.search_order(
+            envelope.service_tag, excluded=self._unanswered(now)
+        )
+        step = order.next_step(
             packet.flow, agent=self._process.settings.address, stage=envelope.stage
         )
         if step is None:
@@ -189,7 +211,12 @@
         if packet.is_reset:
             self._process.drop("flow_over", flow=flow, hops=envelope.hops)
         elif is_fresh and is_settled:
-            self._reset(packet.flow, packet.acknowledged)
+            self._reset(
+                packet.flow,
+                packet.acknowledged,
+                agents=len(self._process.directory.all_agents),
+                unanswered=len(self._unanswered(now)),
+            )
         elif self._pending_repeats < REPEATED_SEARCHES_LIMIT and repeats < REPEATS_PER_FLOW:
             self._pending_repeats += 1
             self._repeats_by_flow.put(packet.flow, repeats + 1, now)
--- a/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/forwarding_process.py
@@ -168,7 +168,9 @@
     def on_view_change(self, update: CatalogUpdate) -> None:
         """Handle an update that the directory has already applied."""
 
-    def reset_flow(self, flow: FlowKey, *, acknowledged: int, reason: str) -> bytes:
+    def reset_flow(
+        self, flow: FlowKey, *, acknowledged: int, reason: str, **fields: object
+    ) -> bytes:
         """Count and log a reset of a flow, and return the packet that resets it."""
         route = self.directory.route(flow)
         priority = None if route is None else route.priority
@@ -179,6 +181,7 @@
             flow=flow_text(flow),
             revision=self.view.catalog.revision,
             view_age_s=self.view_age_s(),
+            **fields,
         )
         return self.packet_codec.reset(flow, sequence=acknowledged)
 
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -42,21 +42,27 @@
 class ServiceDirectory:
     """Routes, candidates and rankings, rebuilt from the catalog when it changes.
 
+    They depend on the catalog alone, so processes with the same view agree on them, whenever they
+    were started.
+
     Entries may come from other writers, and one address may be named by several: of an upstream
-    that has ended, of one that has started since, or of another writer. An entry is used if its
-    service is configured, or was while this process has run: its flows may still be open. Entries
-    with different ports or services don't affect each other. Of those that agree on address, port
-    and service, the one with the latest start counts.
-
-    ``agent_ranking`` ranks all agents, beside draining upstreams and of all services.
-    ``agents_changed_at`` is the time of the last change to the set of agents, and
-    ``agents_added_at`` that of the last added one; both are 0 before the first.
+    that has ended, of one that has started since, or of another writer. Entries with different
+    ports or services don't affect each other. Of those that agree on address, port and service, the
+    one with the latest start counts. A service that isn't configured gets no new flow, since no
+    route names it. The operator may have dropped it while its flows are open, so its agents are
+    searched after those of configured services.
+
+    ``agent_ranking`` ranks the agents of configured services, also beside draining upstreams, or
+    all agents if there are none of those; ``further_ranking`` ranks all others.
+    ``unconfigured_agents`` are the addresses that only entries of other services name.
+    ``agents_changed_at`` is the time of the last change to the agents in ``agent_ranking``, and
+    ``agents_added_at`` that of the last agent added to any; both are 0 before the first.
     """
 
     def __init__(self, *, catalog: Catalog) -> None:
         self._catalog = catalog
         self._routes: RouteIndex | None = None
-        self._known_services: frozenset[str] = frozenset()
+        self._configured_services: frozenset[str] = frozenset()
         self._entry_by_name: dict[str, UpstreamEntry] = {}
         self._entry_by_upstream: dict[_Upstream, UpstreamEntry] = {}
         self._entries_by_service: dict[str, list[UpstreamEntry]] = {}
@@ -64,6 +70,9 @@
         self._services_by_tag: dict[int, tuple[str, ...]] = {}
         self._warm_up_ends_at_by_name: dict[str, float] = {}
         self.agent_ranking = _NO_AGENTS
+        self.further_ranking = _NO_AGENTS
+        self.unconfigured_agents: tuple[str, ...] = ()
+        self._all_ranking = _NO_AGENTS
         self.listed_agents: frozenset[str] = frozenset()
         self.agents_changed_at = 0.0
         self.agents_added_at = 0.0
@@ -81,9 +90,9 @@
 
     def apply(self, update: CatalogUpdate, now: float) -> None:
         """Rebuild what ``update`` has changed; it must be merged into the catalog before."""
-        has_new_services = False
+        has_other_services = False
         if update.configuration or update.configuration_change:
-            has_new_services = self._apply_configuration()
+            has_other_services = self._apply_configuration()
         # Removals first: one that is sent again may be older than the entry in the same update.
         for removal in update.removals:
             self._warm_up_ends_at_by_name.pop(removal.name, None)
@@ -91,30 +100,24 @@
             if self._entry_by_name.get(entry.name) == entry:
                 continue  # sent again for peers that lack it
             self._warm_up_ends_at_by_name[entry.name] = now + entry.warm_up_left_ms / 1000
-        if update.entries or update.removals or has_new_services:
+        if update.entries or update.removals or has_other_services:
             self._rebuild_agents(now)
 
     def _apply_configuration(self) -> bool:
-        """Return whether a service has become known."""
+        """Return whether the configured services have changed."""
         configuration = self._catalog.configuration
         if configuration is None:
             return False
         self._routes = RouteIndex(configuration=configuration)
-        before = self._known_services
-        self._known_services = before.union(
-            configuration.services,
-            (share.service for route in configuration.routes for share in route.shares),
+        before = self._configured_services
+        self._configured_services = frozenset(configuration.services).union(
+            share.service for route in configuration.routes for share in route.shares
         )
-        if before == self._known_services:
-            return False
-        services_by_tag: dict[int, list[str]] = {}
-        for service in sorted(self._known_services):
-            services_by_tag.setdefault(service_tag(service), []).append(service)
-        self._services_by_tag = {tag: tuple(names) for tag, names in services_by_tag.items()}
-        return True
+        return before != self._configured_services
 
     def _rebuild_agents(self, now: float) -> None:
         before = set(self.agent_ranking.agents)
+        all_before = set(self._all_ranking.agents)
         self._entry_by_name = dict(self._catalog.entry_by_name)
         entries = self._entry_by_name.values()
         self.listed_agents = frozenset(entry.address for entry in entries)
@@ -125,26 +128,49 @@
         self._entries_by_service = {}
         agents_by_tag: dict[int, list[str]] = {}
         for entry in self._entry_by_upstream.values():
-            if entry.service in self._known_services:
-                self._entries_by_service.setdefault(entry.service, []).append(entry)
-                agents_by_tag.setdefault(service_tag(entry.service), []).append(entry.address)
+            self._entries_by_service.setdefault(entry.service, []).append(entry)
+            agents_by_tag.setdefault(service_tag(entry.service), []).append(entry.address)
         self._ranking_by_tag = {
             tag: AgentRanking(agents=agents) for tag, agents in agents_by_tag.items()
         }
-        self.agent_ranking = AgentRanking(
-            agents=[agent for ranking in self._ranking_by_tag.values() for agent in ranking.agents]
-        )
-        after = set(self.agent_ranking.agents)
-        if before != after:
+        services_by_tag: dict[int, list[str]] = {}
+        for service in sorted(self._configured_services | self._entries_by_service.keys()):
+            services_by_tag.setdefault(service_tag(service), []).append(service)
+        self._services_by_tag = {tag: tuple(names) for tag, names in services_by_tag.items()}
+        self._rank_agents()
+        if before != set(self.agent_ranking.agents):
             self.agents_changed_at = now
-        if after - before:
+        if self.listed_agents - all_before:
             self.agents_added_at = now
 
+    def _rank_agents(self) -> None:
+        # Before there is a configuration, no entry is of a service that it lacks.
+        configured = {
+            entry.address
+            for entry in self._entry_by_upstream.values()
+            if self._routes is None or entry.service in self._configured_services
+        }
+        self._all_ranking = AgentRanking(
+            agents=[entry.address for entry in self._entry_by_upstream.values()]
+        )
+        agents = self._all_ranking.agents
+        self.unconfigured_agents = tuple(agent for agent in agents if agent not in configured)
+        self.agent_ranking = self._all_ranking
+        self.further_ranking = _NO_AGENTS
+        if configured and self.unconfigured_agents:
+            self.agent_ranking = AgentRanking(agents=[one for one in agents if one in configured])
+            self.further_ranking = AgentRanking(agents=self.unconfigured_agents)
+
+    @property
+    def all_agents(self) -> tuple[str, ...]:
+        """Addresses of the agents of all services."""
+        return self._all_ranking.agents
+
     def unconfigured(self, update: CatalogUpdate) -> list[UpstreamEntry]:
-        """Return the entries of ``update`` that aren't used since their service isn't known."""
+        """Return the entries of ``update`` that get no new flow: their service isn't configured."""
         if self._routes is None:
             return []
-        return [entry for entry in update.entries if entry.service not in self._known_services]
+        return [entry for entry in update.entries if entry.service not in self._configured_services]
 
     def route(self, flow: FlowKey) -> Route | None:
         """Return the route of a flow, or None if its destination has none."""
@@ -167,8 +193,13 @@
 
     @property
     def colliding_services(self) -> list[tuple[str, ...]]:
-        """The names of known services that have the same tag, for each such tag."""
-        return [names for names in self._services_by_tag.values() if len(names) > 1]
+        """The names of configured services that have the same tag, for each such tag."""
+        collisions = [
+            tuple(name for name in names if name in self._configured_services)
+            for names in self._services_by_tag.values()
+            if len(names) > 1
+        ]
+        return [names for names in collisions if len(names) > 1]
 
     def tagged_service(self, tag: int, flow: FlowKey, *, preferred: str) -> str:
         """Return the service that a packet of ``flow`` with the tag is for, or an empty string.
@@ -187,10 +218,20 @@
         possible = weighted or [share.service for share in shares] or names
         return preferred if preferred in possible else possible[0]
 
-    def search_order(self, tag: int) -> SearchOrder:
-        """Return the order of search for flows of a route whose service now has the tag."""
+    def search_order(self, tag: int, *, excluded: frozenset[str] = frozenset()) -> SearchOrder:
+        """Return the order of search for flows of a route whose service now has the tag.
+
+        The agents in ``excluded`` are left out after those of the service.
+        """
+        all_agents = self._all_ranking
+        if excluded:
+            all_agents = AgentRanking(
+                agents=[agent for agent in all_agents.agents if agent not in excluded]
+            )
         return SearchOrder(
-            agents=self.agent_ranking, service_agents=self._ranking_by_tag.get(tag, _NO_AGENTS)
+            agents=self.agent_ranking,
+            service_agents=self._ranking_by_tag.get(tag, _NO_AGENTS),
+            all_agents=all_agents,
         )
 
     def is_evacuated(self, service: str) -> bool:
--- a/libs/forwarding/tests/test_flow_search_model.py
+++ b/libs/forwarding/tests/test_flow_search_model.py
@@ -72,6 +72,15 @@
         weights = {SERVICE_NAME: 1, SECOND_SERVICE_NAME: self.versions % 3}
         self.fleet.configure(version=self.versions, weight_by_service=weights)
 
+    def drop_service(self):
+        """Move the route and leave the service of the open flows out of the configuration."""
+        self.versions += 1
+        self.fleet.configure(
+            version=self.versions,
+            weight_by_service={SECOND_SERVICE_NAME: 1},
+            services=(SECOND_SERVICE_NAME,),
+        )
+
     def run_for(self, seconds):
         """Run while the fabric sends packets to the balancers that are ready."""
         for _ in range(round(seconds / 0.05)):
@@ -174,36 +183,53 @@
 )
 
 
+DROP = st.tuples(st.just("drop"), st.just(0))
+
+
+def play(actions) -> None:
+    """Play ``actions`` one after the other; no flow may be reset, or not found in the end."""
+    with TemporaryDirectory() as directory:
+        model = Model(Path(directory))
+        lost = set()
+        model.fleet.simulation.should_drop = lambda datagram, endpoint: (
+            endpoint[1] == PEER_PORT and datagram[0] in lost
+        )
+        addresses = [*model.fleet.agents, *model.fleet.balancers]
+        for number, (action, argument) in enumerate(actions):
+            if action == "restart":
+                model.restart(addresses[argument])
+            elif action == "freeze" and addresses[argument] not in model.down:
+                model.fleet.pause(addresses[argument], 0.7)
+            elif action == "lose":
+                lost.symmetric_difference_update({argument})
+            elif action == "move":
+                model.move_route()
+            elif action == "drop":
+                model.drop_service()
+            elif action == "request":
+                model.request(b"r%d" % number)
+            else:
+                model.run_for(0.1 * argument)
+            model.check()
+        lost.clear()
+        model.run_for(DOWN_S + SETTLE_S)
+        # Earlier requests are answered first; the client repeats them after up to 1.6 s.
+        model.run_for(3.0)
+        assert model.request(b"last") == [True, True]
+        model.check()
+
+
 class TestRandomFaults:
     @given(actions=st.lists(ACTIONS, min_size=4, max_size=14))
     @settings(derandomize=True, max_examples=60, deadline=None)
     def test_no_flow_is_reset_and_each_is_found_in_the_end(self, actions):
         # Guards against orders of restarts, frozen processes, lost datagrams and changed routes in
         # which a flow is reset, or isn't found once all processes run again.
-        with TemporaryDirectory() as directory:
-            model = Model(Path(directory))
-            lost = set()
-            model.fleet.simulation.should_drop = lambda datagram, endpoint: (
-                endpoint[1] == PEER_PORT and datagram[0] in lost
-            )
-            addresses = [*model.fleet.agents, *model.fleet.balancers]
-            for number, (action, argument) in enumerate(actions):
-                if action == "restart":
-                    model.restart(addresses[argument])
-                elif action == "freeze" and addresses[argument] not in model.down:
-                    model.fleet.pause(addresses[argument], 0.7)
-                elif action == "lose":
-                    lost.symmetric_difference_update({argument})
-                elif action == "move":
-                    model.move_route()
-                elif action == "request":
-                    model.request(b"r%d" % number)
-                else:
-                    model.run_for(0.1 * argument)
-                model.check()
-            lost.clear()
-            model.run_for(DOWN_S + SETTLE_S)
-            # Earlier requests are answered first; the client repeats them after up to 1.6 s.
-            model.run_for(3.0)
-            assert model.request(b"last") == [True, True]
-            model.check()
+        play(actions)
+
+    @given(actions=st.lists(st.one_of(ACTIONS, DROP), min_size=6, max_size=18))
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    def test_no_flow_of_a_dropped_service_is_reset(self, actions):
+        # Guards against the same while the operator drops the service of the flows, and adds it
+        # again by moving the route back.
+        play([("drop", 0), *actions])
