Drop services in the fault soak

Change: a fault that moves the routes and leaves the service before out of the configuration for up to 8 s. It is drawn by itself, as evacuations are, so the other faults of each seed stay the same.

--- a/libs/standins/src/laburnumbridge/standins/flows/fault_schedule.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_schedule.py
@@ -23,6 +23,13 @@
 """No opening may reach the domain after 5 s, so the check covers up to 7 s."""
 
 
+DROP_MEAN_INTERVAL_S = 5.0
+"""In a soak of 20 s a seed drops a service about three times."""
+MIN_DROP_S = 0.3
+MAX_DROP_S = 8.0
+"""Long enough for several restarts of a process before the service is configured again."""
+
+
 class FaultKind(Enum):
     """A fault that is injected from outside the processes."""
 
@@ -46,6 +53,11 @@
     PROXY_SILENCE = "proxy_silence"
     PROXY_CUT_REPLIES = "proxy_cut_replies"
     EVACUATE = "evacuate"
+    DROP_SERVICE = "drop_service"
+
+
+_SEPARATE_KINDS = (FaultKind.EVACUATE, FaultKind.DROP_SERVICE)
+"""Kinds that came later. They are drawn by themselves, so that seeds keep their other faults."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,8 +76,9 @@
 def make_schedule(*, seed: int, seconds: float) -> list[Fault]:
     """Return the faults of a seed, sorted by start time; all end before ``seconds``."""
     choice = Choice(seed=seed)
-    kinds = [kind for kind in FaultKind if kind is not FaultKind.EVACUATE]
+    kinds = [kind for kind in FaultKind if kind not in _SEPARATE_KINDS]
     faults = _make_evacuations(seed=seed, seconds=seconds)
+    faults += _make_drops(seed=seed, seconds=seconds)
     at = 0.0
     while True:
         at += 2 * MEAN_INTERVAL_S * choice.fraction()
@@ -84,17 +97,42 @@
 
 def _make_evacuations(*, seed: int, seconds: float) -> list[Fault]:
     """Return the evacuations of a seed; the other faults don't depend on them."""
-    choice = Choice(seed=hash64(b"evacuations %d" % seed))
+    return _make_separate(
+        FaultKind.EVACUATE,
+        choice=Choice(seed=hash64(b"evacuations %d" % seed)),
+        seconds=seconds,
+        mean_interval_s=EVACUATION_MEAN_INTERVAL_S,
+        bounds_s=(MIN_EVACUATION_S, MAX_EVACUATION_S),
+    )
+
+
+def _make_drops(*, seed: int, seconds: float) -> list[Fault]:
+    """Return when a seed drops a service; the other faults don't depend on that."""
+    return _make_separate(
+        FaultKind.DROP_SERVICE,
+        choice=Choice(seed=hash64(b"drops %d" % seed)),
+        seconds=seconds,
+        mean_interval_s=DROP_MEAN_INTERVAL_S,
+        bounds_s=(MIN_DROP_S, MAX_DROP_S),
+    )
+
+
+def _make_separate(
+    kind: FaultKind,
+    *,
+    choice: Choice,
+    seconds: float,
+    mean_interval_s: float,
+    bounds_s: tuple[float, float],
+) -> list[Fault]:
+    """Return faults of one kind with durations within ``bounds_s``."""
     faults: list[Fault] = []
     at = 0.0
     while True:
-        at += 2 * EVACUATION_MEAN_INTERVAL_S * choice.fraction()
+        at += 2 * mean_interval_s * choice.fraction()
         if at >= seconds:
             return faults
-        duration_s = MIN_EVACUATION_S
-        duration_s += (MAX_EVACUATION_S - MIN_EVACUATION_S) * choice.fraction()
+        duration_s = bounds_s[0] + (bounds_s[1] - bounds_s[0]) * choice.fraction()
         target = choice.fraction()
         if at + duration_s < seconds:
-            faults.append(
-                Fault(at=at, kind=FaultKind.EVACUATE, target=target, duration_s=duration_s)
-            )
+            faults.append(Fault(at=at, kind=kind, target=target, duration_s=duration_s))
--- a/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
@@ -14,6 +14,7 @@
 from laburnumbridge.standins.end_with_parent import end_with_parent
 from laburnumbridge.standins.flows.client_stand_in import ClientStandIn
 from laburnumbridge.standins.flows.fault_proxy import FaultProxy
+from laburnumbridge.standins.flows.platform_data import SERVICES
 from laburnumbridge.standins.flows.platform_data import entry_name
 from laburnumbridge.standins.flows.platform_data import make_configuration
 from laburnumbridge.standins.flows.platform_data import make_entry
@@ -94,6 +95,7 @@
         self._starts_by_address: Counter[str] = Counter()
         self.version = 1
         self._routed_service = SERVICE_NAME
+        self._dropped_services: set[str] = set()
         self._evacuated_domains: set[str] = set()
 
     def start(self) -> None:
@@ -140,6 +142,20 @@
         """Move the routes to the other service; open flows stay where they are."""
         is_first = self._routed_service == SERVICE_NAME
         self._routed_service = SECOND_SERVICE_NAME if is_first else SERVICE_NAME
+        self._dropped_services.discard(self._routed_service)
+        self.configure()
+
+    def drop_service(self) -> None:
+        """Move the routes to the other service and leave the one before out of the configuration.
+
+        Its upstreams stay registered.
+        """
+        self._dropped_services = {self._routed_service}
+        self.move_route()
+
+    def add_dropped_service(self) -> None:
+        """Configure all services again."""
+        self._dropped_services.clear()
         self.configure()
 
     def republish(self) -> None:
@@ -160,8 +176,11 @@
     def _publish_configuration(self) -> None:
         endpoints = (SERVICE, ("198.18.0.2", 1_000 + self.version))
         weight_by_service = {self._routed_service: 1}
+        services = tuple(name for name in SERVICES if name not in self._dropped_services)
         self.platform.configure(
-            make_configuration(self.version, endpoints, weight_by_service=weight_by_service)
+            make_configuration(
+                self.version, endpoints, weight_by_service=weight_by_service, services=services
+            )
         )
 
     def evacuate(self, domain: str) -> None:
