--- a/libs/forwarding/tests/test_dropped_services.py
+++ b/libs/forwarding/tests/test_dropped_services.py
@@ -40,6 +40,13 @@
     return [flow.key for flow in flows if flow.was_reset or len(flow.answers) != count]
 
 
+def assert_served(fleet, flows, *, count) -> None:
+    """Send the request ``count`` on each flow, which is answered without a reset."""
+    request_on_all(flows, b"request %d " % count)
+    fleet.simulation.run_for(3.0)
+    assert unanswered(flows, count) == []
+
+
 def drop_service(fleet, *, version=2) -> None:
     """Move the route to the second service and leave the first one out of the configuration."""
     fleet.configure(
@@ -118,9 +125,7 @@
         flows = open_flows(fleet)
         drop_service(fleet)
         restart(fleet, [address for group in order for address in getattr(fleet, group)])
-        request_on_all(flows, b"second ")
-        fleet.simulation.run_for(3.0)
-        assert unanswered(flows, 2) == []
+        assert_served(fleet, flows, count=2)
 
     def test_open_flows_survive_several_versions(self, fleet):
         # Guards against flows that are found only under the version that dropped their service.
@@ -129,9 +134,7 @@
             fleet.configure(version=version, weight_by_service={services[-1]: 1}, services=services)
             fleet.simulation.run_for(0.5)
             restart_at_once(fleet, [*fleet.agents, *fleet.balancers])
-            request_on_all(flows, b"version %d " % version)
-            fleet.simulation.run_for(3.0)
-            assert unanswered(flows, version) == []
+            assert_served(fleet, flows, count=version)
 
     def test_open_flows_survive_while_another_service_has_no_upstreams_yet(self, tmp_path):
         # Guards against a view without agents: the only service that is left gets its upstreams
@@ -141,9 +144,7 @@
         flows = open_flows(fleet)
         drop_service(fleet)
         restart_at_once(fleet, [*fleet.agents, *fleet.balancers])
-        request_on_all(flows, b"second ")
-        fleet.simulation.run_for(3.0)
-        assert unanswered(flows, 2) == []
+        assert_served(fleet, flows, count=2)
 
     def test_open_flows_survive_while_few_agents_are_left_and_restart(self, fleet):
         # Guards against packets that are lost at the agents of the remaining service: any other
@@ -168,9 +169,7 @@
             endpoint[1] == PEER_PORT and datagram[0] == DatagramKind.RECORDS
         )
         restart_at_once(fleet, [*fleet.agents, *fleet.balancers])
-        request_on_all(flows, b"second ")
-        fleet.simulation.run_for(3.0)
-        assert unanswered(flows, 2) == []
+        assert_served(fleet, flows, count=2)
 
     def test_open_flows_survive_beside_entries_of_other_writers(self, fleet):
         # Guards against agents that can't be told from addresses where none runs: such entries name
@@ -179,9 +178,7 @@
         flows = open_flows(fleet)
         drop_service(fleet)
         restart_at_once(fleet, [*fleet.agents, *fleet.balancers])
-        request_on_all(flows, b"second ")
-        fleet.simulation.run_for(3.0)
-        assert unanswered(flows, 2) == []
+        assert_served(fleet, flows, count=2)
 
     def test_its_upstreams_get_no_new_flow(self, fleet):
         # Guards against openings that are sent to a service which no route names.
