Derive what the search for open flows wrote twice

Cause: reading the whole change again showed a set of agents kept beside an equal one (listed_agents), the same order of search built in two places, the times of RecordRecovery copied into AgentContacts, a callback without a type, and a docstring of SearchOrder that said directory nodes come from all services. Change: one source for each, a typed callback, and the docstring says configured services. Behaviour is the same.

--- a/libs/flows/src/laburnumbridge/flows/agent_contacts.py
+++ b/libs/flows/src/laburnumbridge/flows/agent_contacts.py
@@ -6,12 +6,14 @@
 
 import msgspec
 
+from laburnumbridge.flows.record_recovery import REQUESTS_AFTER_S
+
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Iterable
 
-PROBES_AFTER_S = (0.0, 0.2, 0.6, 1.4)
-"""Times of the probes of an address: an agent that restarts is back within 1.4 s."""
+PROBES_AFTER_S = REQUESTS_AFTER_S
+"""Times of the probes of an address, which like the requests outlast the restart of an agent."""
 ANSWER_WAIT_S = 1.6
 """Time after the last probe in which an agent that restarts answers or is heard from."""
 ADDRESSES_AT_ONCE = 16
--- a/libs/flows/src/laburnumbridge/flows/search_order.py
+++ b/libs/flows/src/laburnumbridge/flows/search_order.py
@@ -41,9 +41,9 @@
     dropped while flows are open there; without it there are none.
 
     A route may have moved to another service, or its weights may have changed, while the flow
-    stays where it is. So directory nodes are taken from the agents of all services: processes with
-    different configurations agree on them, and a search takes two hops however many agents the
-    service has. The agents of other services end a search for which there is no record.
+    stays where it is. So directory nodes are taken from the agents of all configured services:
+    processes agree on them wherever the routes lead, and a search takes two hops however many
+    agents the service has. The agents of other services end a search for which there is no record.
 
     Within a stage the ranks only decrease, and stages only follow each other, so a search ends also
     between agents with different views.
@@ -76,7 +76,7 @@
         if len(nodes) < SEARCH_STARTS:
             # Few agents are left of the configured services; any other one can search as well.
             ranked = self._all_agents.directory_nodes(flow, 2 * SEARCH_STARTS)
-            nodes += [agent for agent in ranked if agent not in nodes][: SEARCH_STARTS - len(nodes)]
+            nodes = list(dict.fromkeys([*nodes, *ranked]))[:SEARCH_STARTS]
         if not nodes:
             return None
         start = attempt % len(nodes)
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_agent.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -140,7 +139,7 @@
             inquiries=self._inquiries,
             contacts=self._contacts,
             forward=self._forward,
-            reset=partial(self._reset, reason="not_found"),
+            reset=self._reset_not_found,
         )
         self._reporter = LoadReporter(port=self.peers, peer_port=self.settings.peer_port)
         self._detail_requester = DetailRequester(port=self.peers, peer_port=self.settings.peer_port)
@@ -492,6 +491,11 @@
         reset = self.reset_flow(flow, acknowledged=acknowledged, reason=reason, **fields)
         self._outputs.send(reset, self.client_endpoint(flow))
 
+    def _reset_not_found(
+        self, flow: FlowKey, acknowledged: int, agents: int, unanswered: int
+    ) -> None:
+        self._reset(flow, acknowledged, "not_found", agents=agents, unanswered=unanswered)
+
     # Upkeep.
 
     def _upkeep(self) -> None:
--- a/libs/forwarding/src/laburnumbridge/forwarding/flow_search.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/flow_search.py
@@ -20,6 +20,7 @@
     from laburnumbridge.flows import FlowKey
     from laburnumbridge.flows import FlowPacket
     from laburnumbridge.flows import InquiryResult
+    from laburnumbridge.flows import SearchOrder
     from laburnumbridge.flows.peer_datagrams import Envelope
     from laburnumbridge.forwarding.flow_inquiries import FlowInquiries
     from laburnumbridge.forwarding.forwarding_process import ForwardingProcess
@@ -57,8 +58,8 @@
     Agents of services that aren't configured are asked as well. Only if nobody has ever answered at
     such an address, as ``contacts`` tell, its silence doesn't keep the search from ending.
 
-    Calls ``reset`` with the flow, the acknowledged sequence number and fields for the log once no
-    agent can hold it.
+    Calls ``reset`` once no agent can hold the flow: with the flow, the acknowledged sequence
+    number, the number of all agents, and that of addresses at which none seems to run.
     """
 
     def __init__(
@@ -68,7 +69,7 @@
         inquiries: FlowInquiries,
         contacts: AgentContacts,
         forward: Callable[[Envelope, str, SearchStage], None],
-        reset: Callable[..., None],
+        reset: Callable[[FlowKey, int, int, int], None],
     ) -> None:
         self._process = process
         self._inquiries = inquiries
@@ -171,9 +172,7 @@
 
         The second directory node would only ask the same agents again.
         """
-        order = self._process.directory.search_order(
-            envelope.service_tag, excluded=self._unanswered(now)
-        )
+        order = self._search_order(envelope, now)
         uses_records = envelope.stage is not SearchStage.RECORDED
         step = order.first_walk_step(packet.flow, uses_records=uses_records)
         if step is None:
@@ -184,10 +183,7 @@
 
     def _walk(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         """Forward a packet to the next agent of the ranking, or end the search."""
-        order = self._process.directory.search_order(
-            envelope.service_tag, excluded=self._unanswered(now)
-        )
-        step = order.next_step(
+        step = self._search_order(envelope, now).next_step(
             packet.flow, agent=self._process.settings.address, stage=envelope.stage
         )
         if step is None:
@@ -196,6 +192,11 @@
         self._process.metrics.count("search_hops_total")
         self._forward(envelope, step.agent, step.stage)
 
+    def _search_order(self, envelope: Envelope, now: float) -> SearchOrder:
+        return self._process.directory.search_order(
+            envelope.service_tag, excluded=self._unanswered(now)
+        )
+
     def _end_search(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
         """Reset a flow that no agent holds, if the view is fresh, complete and settled.
 
@@ -214,8 +215,8 @@
             self._reset(
                 packet.flow,
                 packet.acknowledged,
-                agents=len(self._process.directory.all_agents),
-                unanswered=len(self._unanswered(now)),
+                len(self._process.directory.all_agents),
+                len(self._unanswered(now)),
             )
         elif self._pending_repeats < REPEATED_SEARCHES_LIMIT and repeats < REPEATS_PER_FLOW:
             self._pending_repeats += 1
--- a/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
+++ b/libs/forwarding/src/laburnumbridge/forwarding/service_directory.py
@@ -117,7 +117,7 @@
 
     def _rebuild_agents(self, now: float) -> None:
         before = set(self.agent_ranking.agents)
-        all_before = set(self._all_ranking.agents)
+        listed_before = self.listed_agents
         self._entry_by_name = dict(self._catalog.entry_by_name)
         entries = self._entry_by_name.values()
         self.listed_agents = frozenset(entry.address for entry in entries)
@@ -140,7 +140,7 @@
         self._rank_agents()
         if before != set(self.agent_ranking.agents):
             self.agents_changed_at = now
-        if self.listed_agents - all_before:
+        if self.listed_agents - listed_before:
             self.agents_added_at = now
 
     def _rank_agents(self) -> None:
