Share the schedule of separate faults and the requests on several flows

Change: a table of the kinds that are drawn by themselves, and request_on_all and unanswered beside the simulated fleet. The asserts are the same; the tests of colliding services pass the count of answers that was their default.

--- a/libs/forwarding/tests/test_colliding_services.py
+++ b/libs/forwarding/tests/test_colliding_services.py
@@ -11,6 +11,7 @@
 from laburnumbridge.flows.peer_datagrams import Envelope
 from laburnumbridge.flows.peer_datagrams import SearchStage
 from laburnumbridge.flows.peer_datagrams import encode_envelope
+from laburnumbridge.standins.flows.flow_requests import unanswered
 from laburnumbridge.standins.flows.process_settings import OTHER_SERVICE
 from laburnumbridge.standins.flows.process_settings import PEER_PORT
 from laburnumbridge.standins.flows.process_settings import SERVICE
@@ -80,10 +81,6 @@
     return pack_ipv4(address) + port.to_bytes(2, "big")
 
 
-def unanswered(flows, count=1):
-    return [flow.key for flow in flows if flow.was_reset or len(flow.answers) != count]
-
-
 def test_the_names_collide():
     # Guards against tests that guard nothing, since their names have different tags.
     assert len({zlib.crc32(name.encode()) for name in COLLIDING}) == 1
@@ -94,7 +91,7 @@
 
     def test_openings_reach_upstreams_of_their_own_service(self, fleet):
         # Guards against services that share their upstreams, since candidates are kept by tag.
-        assert unanswered(open_flows(fleet)) == []
+        assert unanswered(open_flows(fleet), 1) == []
         assert misplaced(fleet) == []
 
     def test_held_and_handed_over_openings_stay_with_their_service(self, tmp_path):
@@ -145,7 +142,7 @@
             fleet.kill(address)
             fleet.start_process(address)
         flows += open_flows(fleet, settle_s=3.0)
-        assert unanswered(flows) == []
+        assert unanswered(flows, 1) == []
         assert misplaced(fleet) == []
 
     def test_a_service_that_is_configured_later_stays_apart(self, tmp_path):
@@ -155,10 +152,10 @@
         first = {SERVICE: {FIRST: 1}, OTHER_SERVICE: {FIRST: 1}}
         configure(fleet, 2, first, services=(FIRST,))
         flows = open_flows(fleet)
-        assert unanswered(flows) == []
+        assert unanswered(flows, 1) == []
         assert misplaced(fleet, first) == []
         configure(fleet, 3)
-        assert unanswered(open_flows(fleet)) == []
+        assert unanswered(open_flows(fleet), 1) == []
         assert misplaced(fleet, ignored={flow.key for flow in flows}) == []
 
     def test_a_service_that_was_never_configured_gets_nothing(self, tmp_path):
@@ -169,7 +166,7 @@
         for agent in fleet.agents[:3]:
             fleet.platform.put(replace(fleet.entry(agent), name=f"other-{agent}", service=SECOND))
         fleet.simulation.run_for(0.5)
-        assert unanswered(open_flows(fleet)) == []
+        assert unanswered(open_flows(fleet), 1) == []
         assert misplaced(fleet, weights) == []
 
     def test_flows_stay_and_new_ones_move_with_their_route(self, fleet):
@@ -185,14 +182,14 @@
             flow.request(b"second " + flow.key)
         new = open_flows(fleet)
         assert unanswered(flows, 2) == []
-        assert unanswered(new) == []
+        assert unanswered(new, 1) == []
         assert misplaced(fleet, moved, ignored={flow.key for flow in flows}) == []
 
     def test_a_route_may_name_both(self, fleet):
         # Guards against openings that are passed to and fro, since either service may be meant.
         weights = {SERVICE: {FIRST: 1, SECOND: 1}, OTHER_SERVICE: {SECOND: 1}}
         configure(fleet, 3, weights)
-        assert unanswered(open_flows(fleet)) == []
+        assert unanswered(open_flows(fleet), 1) == []
         assert misplaced(fleet, weights) == []
         assert not fleet.lines(Event.FLOW_HANDED_OVER, "other_service")
 
--- a/libs/forwarding/tests/test_dropped_services.py
+++ b/libs/forwarding/tests/test_dropped_services.py
@@ -5,6 +5,8 @@
 
 from laburnumbridge.core import Event
 from laburnumbridge.flows.peer_datagrams import DatagramKind
+from laburnumbridge.standins.flows.flow_requests import request_on_all
+from laburnumbridge.standins.flows.flow_requests import unanswered
 from laburnumbridge.standins.flows.platform_data import SERVICES
 from laburnumbridge.standins.flows.process_settings import PEER_PORT
 from laburnumbridge.standins.flows.process_settings import SECOND_SERVICE_NAME
@@ -23,11 +25,6 @@
     return fleet
 
 
-def request_on_all(flows, content: bytes) -> None:
-    for flow in flows:
-        flow.request(content + flow.key)
-
-
 def open_flows(fleet):
     flows = [fleet.client.open_flow(SERVICE) for _ in range(FLOWS)]
     request_on_all(flows, b"first ")
@@ -36,10 +33,6 @@
     return flows
 
 
-def unanswered(flows, count):
-    return [flow.key for flow in flows if flow.was_reset or len(flow.answers) != count]
-
-
 def assert_served(fleet, flows, *, count) -> None:
     """Send the request ``count`` on each flow, which is answered without a reset."""
     request_on_all(flows, b"request %d " % count)
--- a/libs/forwarding/tests/test_moved_routes.py
+++ b/libs/forwarding/tests/test_moved_routes.py
@@ -3,6 +3,8 @@
 import pytest
 
 from laburnumbridge.core import Event
+from laburnumbridge.standins.flows.flow_requests import request_on_all
+from laburnumbridge.standins.flows.flow_requests import unanswered
 from laburnumbridge.standins.flows.process_settings import SECOND_SERVICE_NAME
 from laburnumbridge.standins.flows.process_settings import SERVICE
 from laburnumbridge.standins.flows.process_settings import SERVICE_NAME
@@ -26,15 +28,6 @@
     return fleet
 
 
-def request_on_all(flows, content: bytes) -> None:
-    for flow in flows:
-        flow.request(content + flow.key)
-
-
-def unanswered(flows, count: int) -> list[object]:
-    return [flow.key for flow in flows if flow.was_reset or len(flow.answers) != count]
-
-
 @pytest.mark.parametrize(("before", "after"), TARGETS)
 class TestRouteThatMoves:
     """A new configuration leaves open flows where they are while their route remains."""
--- a/libs/standins/src/laburnumbridge/standins/flows/fault_injector.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_injector.py
@@ -101,7 +101,7 @@
             self._fleet.move_route()
         elif fault.kind is FaultKind.DROP_SERVICE:
             self._fleet.drop_service()
-            self._loop.call_later(fault.duration_s, self._fleet.add_dropped_service)
+            self._loop.call_later(fault.duration_s, self._fleet.configure_all_services)
         elif fault.kind is FaultKind.EVACUATE:
             self._evacuate(fault)
         elif fault.kind is FaultKind.FOREIGN_ENTRY:
--- a/libs/standins/src/laburnumbridge/standins/flows/fault_schedule.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/fault_schedule.py
@@ -56,8 +56,36 @@
     DROP_SERVICE = "drop_service"
 
 
-_SEPARATE_KINDS = (FaultKind.EVACUATE, FaultKind.DROP_SERVICE)
-"""Kinds that came later. They are drawn by themselves, so that seeds keep their other faults."""
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _SeparateKind:
+    """A kind that is drawn by itself, so that seeds keep their other faults.
+
+    ``name`` makes the sequence of random numbers its own.
+    """
+
+    kind: FaultKind
+    name: bytes
+    mean_interval_s: float
+    min_s: float
+    max_s: float
+
+
+_SEPARATE_KINDS = (
+    _SeparateKind(
+        kind=FaultKind.EVACUATE,
+        name=b"evacuations",
+        mean_interval_s=EVACUATION_MEAN_INTERVAL_S,
+        min_s=MIN_EVACUATION_S,
+        max_s=MAX_EVACUATION_S,
+    ),
+    _SeparateKind(
+        kind=FaultKind.DROP_SERVICE,
+        name=b"drops",
+        mean_interval_s=DROP_MEAN_INTERVAL_S,
+        min_s=MIN_DROP_S,
+        max_s=MAX_DROP_S,
+    ),
+)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,9 +104,13 @@
 def make_schedule(*, seed: int, seconds: float) -> list[Fault]:
     """Return the faults of a seed, sorted by start time; all end before ``seconds``."""
     choice = Choice(seed=seed)
-    kinds = [kind for kind in FaultKind if kind not in _SEPARATE_KINDS]
-    faults = _make_evacuations(seed=seed, seconds=seconds)
-    faults += _make_drops(seed=seed, seconds=seconds)
+    separate = {one.kind for one in _SEPARATE_KINDS}
+    kinds = [kind for kind in FaultKind if kind not in separate]
+    faults = [
+        fault
+        for one in _SEPARATE_KINDS
+        for fault in _make_separate(one, seed=seed, seconds=seconds)
+    ]
     at = 0.0
     while True:
         at += 2 * MEAN_INTERVAL_S * choice.fraction()
@@ -95,44 +127,16 @@
             return sorted(faults, key=lambda fault: fault.at)
 
 
-def _make_evacuations(*, seed: int, seconds: float) -> list[Fault]:
-    """Return the evacuations of a seed; the other faults don't depend on them."""
-    return _make_separate(
-        FaultKind.EVACUATE,
-        choice=Choice(seed=hash64(b"evacuations %d" % seed)),
-        seconds=seconds,
-        mean_interval_s=EVACUATION_MEAN_INTERVAL_S,
-        bounds_s=(MIN_EVACUATION_S, MAX_EVACUATION_S),
-    )
-
-
-def _make_drops(*, seed: int, seconds: float) -> list[Fault]:
-    """Return when a seed drops a service; the other faults don't depend on that."""
-    return _make_separate(
-        FaultKind.DROP_SERVICE,
-        choice=Choice(seed=hash64(b"drops %d" % seed)),
-        seconds=seconds,
-        mean_interval_s=DROP_MEAN_INTERVAL_S,
-        bounds_s=(MIN_DROP_S, MAX_DROP_S),
-    )
-
-
-def _make_separate(
-    kind: FaultKind,
-    *,
-    choice: Choice,
-    seconds: float,
-    mean_interval_s: float,
-    bounds_s: tuple[float, float],
-) -> list[Fault]:
-    """Return faults of one kind with durations within ``bounds_s``."""
+def _make_separate(separate: _SeparateKind, *, seed: int, seconds: float) -> list[Fault]:
+    """Return the faults of one kind; the other faults of the seed don't depend on them."""
+    choice = Choice(seed=hash64(b"%s %d" % (separate.name, seed)))
     faults: list[Fault] = []
     at = 0.0
     while True:
-        at += 2 * mean_interval_s * choice.fraction()
+        at += 2 * separate.mean_interval_s * choice.fraction()
         if at >= seconds:
             return faults
-        duration_s = bounds_s[0] + (bounds_s[1] - bounds_s[0]) * choice.fraction()
+        duration_s = separate.min_s + (separate.max_s - separate.min_s) * choice.fraction()
         target = choice.fraction()
         if at + duration_s < seconds:
-            faults.append(Fault(at=at, kind=kind, target=target, duration_s=duration_s))
+            faults.append(Fault(at=at, kind=separate.kind, target=target, duration_s=duration_s))
--- a/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
+++ b/libs/standins/src/laburnumbridge/standins/flows/process_fleet.py
@@ -153,7 +153,7 @@
         self._dropped_services = {self._routed_service}
         self.move_route()
 
-    def add_dropped_service(self) -> None:
+    def configure_all_services(self) -> None:
         """Configure all services again."""
         self._dropped_services.clear()
         self.configure()
