--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -1,7 +1,7 @@
 """A small deployment on loopback addresses: the project's programs and stand-ins around them.
 
 The stand-ins follow the users' pages: a store, backends, clients, and routers that check readiness.
-Each machine reaches the store through a proxy of its own, which can go silent.
+Each machine reaches the store and the seeds through proxies of its own, which can be cut.
 """
 
 from __future__ import annotations
@@ -151,44 +151,79 @@
 
 
 class Proxy:
-    """Forwards connections to the store; open ones can go silent for good while new ones work."""
+    """A machine's way to another address, with the rate of its link; it can be cut without a sign.
 
-    def __init__(self, target):
-        self.target = target
-        self.silent = set()
-        self.open = set()
+    While it is cut, bytes are held back and new connections hang, as if the machine were behind a
+    partition. ``bytes_per_s`` limits what comes back over it.
+    """
+
+    def __init__(self, target, bytes_per_s=None):
+        self.target, self.bytes_per_s = target, bytes_per_s
+        self.whole = asyncio.Event()
+        self.whole.set()
         self.accepted = 0
+        self.fillers = []
+        self.tasks = set()
 
     async def start(self, address, port):
-        """Listen."""
-        self.server = await asyncio.start_server(self._serve, address, port)
-
-    def silence(self):
-        """Let the open connections go silent for good; return their number."""
-        self.silent |= self.open
-        return len(self.open)
-
-    async def _serve(self, reader, writer):
+        """Listen; with one place in the queue, so that a cut can fill it."""
+        self.listener = socket.socket()
+        self.listener.setblocking(False)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((address, port))
+        self.listener.listen(0)
+        asyncio.get_running_loop().add_reader(self.listener, self._accept)
+
+    def cut(self):
+        """Hold everything back; connections that are attempted now are never answered."""
+        self.whole.clear()
+        asyncio.get_running_loop().remove_reader(self.listener)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+            self.fillers.append(filler)
+
+    def heal(self):
+        """Let everything pass again."""
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+        self.whole.set()
+        asyncio.get_running_loop().add_reader(self.listener, self._accept)
+
+    def _accept(self):
+        try:
+            connection, _ = self.listener.accept()
+        except OSError:
+            return
         self.accepted += 1
-        token = object()
-        self.open.add(token)
-        up_reader, up_writer = await asyncio.open_connection(*self.target)
+        task = asyncio.get_running_loop().create_task(self._serve(connection))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _serve(self, connection):
+        try:
+            reader, writer = await asyncio.open_connection(sock=connection, limit=1 << 14)
+            up_reader, up_writer = await asyncio.open_connection(*self.target, limit=1 << 14)
+        except OSError:
+            connection.close()
+            return
 
-        async def relay(source, sink):
+        async def relay(source, sink, bytes_per_s):
             try:
-                while data := await source.read(65536):
-                    if token not in self.silent:
-                        sink.write(data)
-                        await sink.drain()
+                while data := await source.read(8192):
+                    await self.whole.wait()
+                    if bytes_per_s:
+                        await asyncio.sleep(len(data) / bytes_per_s)
+                    sink.write(data)
+                    await sink.drain()
             except (ConnectionError, asyncio.CancelledError):
                 pass
-            if token not in self.silent:
-                sink.close()
+            sink.close()
 
-        await asyncio.gather(relay(reader, up_writer), relay(up_reader, writer))
-        self.open.discard(token)
-        writer.close()
-        up_writer.close()
+        await asyncio.gather(
+            relay(reader, up_writer, None), relay(up_reader, writer, self.bytes_per_s))
 
 
 class Backend:
@@ -355,6 +390,7 @@
     def start(self):
         """Start the process."""
         self.write_settings()
+        (self.fleet.folder / f"{self.name}.log").write_bytes(b"")
         keep = ("PATH", "HOME", "LANG")
         env = {k: os.environ[k] for k in keep if k in os.environ}
         env |= {"PYTHONPATH": str(ROOT / "target/deps"), "LABURNUMBRIDGE_BOOT": str(self.path),
@@ -371,10 +407,14 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
-    def log_lines(self, event):
-        """Return the lines of the process's log with an event."""
-        path = self.fleet.folder / f"{self.name}.log"
-        return [line for line in path.read_text().splitlines() if f'"event":"{event}"' in line]
+    def linked_peers(self):
+        """Return the addresses of the peers that the process's log says it is connected to."""
+        peers = set()
+        for line in (self.fleet.folder / f"{self.name}.log").read_text().splitlines():
+            for event, change in (("peer_connected", peers.add), ("peer_lost", peers.discard)):
+                if f'"event":"{event}"' in line:
+                    change(line.split('"peer":"')[1].split(":")[0])
+        return peers
 
 
 def render(template, fields):
@@ -438,7 +478,8 @@
 class Fleet:
     """The deployment; ``edges`` and ``sides`` are its machines by name, in the order given."""
 
-    def __init__(self, *, edges, sides, seeds, zones=("north",), extra_bounds=()):
+    def __init__(self, *, edges, sides, seeds, zones=("north",), extra_bounds=(), rates=None):
+        rates = rates or {}  # bytes a second over the links of some machines
         self.began = time.monotonic()
         self.lines = []
         self.temporary = tempfile.TemporaryDirectory(prefix="review-3-")
@@ -448,6 +489,7 @@
         self.prefix = self._free_prefix()
         self.store = Store(self.record)
         self.machines, self.backends, self.proxies = {}, {}, {}
+        self.seed_proxies = {}  # by the names of the machine and of the seed
         self.rotation = []
         self.tasks = []
         self.version = 0
@@ -462,7 +504,10 @@
             settings = {
                 "node_name": name, "machine_class": "edge" if is_edge else "side", "ip": address,
                 "zone": zone, "region": "south", "internal_port_range": [PEER, PEER + 15],
-                "seeds": [f"{addresses[seed]}:{CONTROL}" for seed in seeds],
+                "seeds": [
+                    f"{address if seed == name else self._way(number, index)}:{CONTROL}"
+                    for index, seed in enumerate(seeds)
+                ],
                 "zones": {one: "south" for one in zones}, "listen": listen, "bounds": self.bounds,
                 "platform": {"address": f"{self.prefix}.3.{number + 1}:8169"},
                 "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0},
@@ -474,12 +519,20 @@
                 listen["outbound"] = f"{address}:{OUTBOUND}"
                 settings |= {"app": f"{address}:{APP}", "service": sides[name]}
                 self.backends[name] = Backend(self, address, sides[name], zone)
-            self.proxies[name] = Proxy((f"{self.prefix}.4.1", 8169))
+            self.proxies[name] = Proxy((f"{self.prefix}.4.1", 8169), rates.get(name))
+            for index, seed in enumerate(seeds):
+                if seed != name:
+                    way = Proxy((addresses[seed], CONTROL), rates.get(name))
+                    self.seed_proxies[name, seed] = (self._way(number, index), way)
             role = by_class["edge" if is_edge else "side"]
             self.machines[name] = Machine(self, role, name, address, zone, settings)
         self.edges = [self.machines[name] for name in edges]
         self.client = Client(self, f"{self.prefix}.5.1")
 
+    def _way(self, number, index):
+        """Return the address at which a machine reaches a seed."""
+        return f"{self.prefix}.{10 + number}.{index + 1}"
+
     @staticmethod
     def _free_prefix():
         for _ in range(200):
@@ -502,6 +555,8 @@
         for name, proxy in self.proxies.items():
             host, port = self.machines[name].settings["platform"]["address"].split(":")
             await proxy.start(host, int(port))
+        for address, proxy in self.seed_proxies.values():
+            await proxy.start(address, CONTROL)
         for backend in self.backends.values():
             await backend.start()
         await self.client.start()
@@ -528,6 +583,13 @@
                 self.rotation.remove(machine)
             await asyncio.sleep(0.5)
 
+    def cut(self, name, *, is_cut):
+        """Cut a seed off from all other machines of the system, or end that; it reaches the store."""
+        for (machine, seed), (_, proxy) in self.seed_proxies.items():
+            if name in (machine, seed):
+                proxy.cut() if is_cut else proxy.heal()
+        self.record(f"{name} is {'cut off from' if is_cut else 'back with'} the other machines")
+
     def route(self, raw, ends, node=None):
         """Forward a client's packet as the platform's routers do, or to the edge ``node``."""
         if node is None:
@@ -582,7 +644,7 @@
 
 
 def play(case, folder):
-    """Run the coroutine ``case(fleet_holder)``, write the record, and exit with its verdict."""
+    """Run the coroutine ``case(trouble, fleets)``, write the record, and exit with its verdict."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     fleets = []
 
@@ -591,14 +653,15 @@
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         return await asyncio.wait_for(case(trouble, fleets), 112)
 
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # end the processes then, too
     try:
         verdict, text = asyncio.run(run())
-    except Exception as error:  # the case couldn't run
+    except (Exception, KeyboardInterrupt) as error:  # the case couldn't run
         verdict, text = 2, f"couldn't run: {type(error).__name__}: {error}"
     lines = [line for fleet in fleets for line in fleet.lines]
     for fleet in fleets:
         fleet.close()
     verdict_line = f"trouble: {int(trouble)}; exit {verdict}: {text}"
     Path(folder, "record.txt").write_text("\n".join([*lines, verdict_line]) + "\n")
-    print(verdict_line)
-    sys.exit(verdict)
+    print(verdict_line, flush=True)
+    os._exit(verdict)  # without the warnings of connections that are still open
