Count as FAILBACK does, and give a link its full rate

Cause: the rule counts requests that were sent and arrived within a second, the check of case 12 only asked when they arrived; the link of case 11 was slightly slower than the 5 Mbit/s of the sheet.

--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -211,11 +211,14 @@
             return
 
         async def relay(source, sink, bytes_per_s):
+            free_at = 0.0  # when the link has passed on what came before
             try:
                 while data := await source.read(8192):
                     await self.whole.wait()
                     if bytes_per_s:
-                        await asyncio.sleep(len(data) / bytes_per_s)
+                        now = time.monotonic()
+                        free_at = max(free_at, now) + len(data) / bytes_per_s
+                        await asyncio.sleep(free_at - now)
                     sink.write(data)
                     await sink.drain()
             except (ConnectionError, asyncio.CancelledError):
@@ -238,7 +241,7 @@
         self.cold_until = 0.0
         self.flows = {}
         self.taken = []  # (time, id of the request)
-        self.openings = []  # (time, client's port) of opening packets that it took
+        self.openings = []  # (time, client's port, copy) of opening packets taken
 
     async def start(self):
         """Listen and register."""
@@ -274,7 +277,7 @@
         if packet.flags & SYN and not packet.flags & ACK:
             if flow is None:
                 flow = self.flows[key] = {"seq": random.randrange(1 << 32), "open": False, "last": b""}
-                self.openings.append((time.monotonic(), packet.sport))
+                self.openings.append((time.monotonic(), packet.sport, packet.ack))
             self._send(pack(*back, SYN | ACK, flow["seq"], packet.seq + 1))
         elif flow is None or (not flow["open"] and packet.ack != (flow["seq"] + 1) % (1 << 32)):
             # The echo stays as it was when the packet arrived.
@@ -302,6 +305,7 @@
 
     def __init__(self, name, sent):
         self.name, self.sent = name, sent
+        self.copies_sent = []  # when each copy of the opening packet was sent
         loop = asyncio.get_running_loop()
         self.opened, self.ended = loop.create_future(), loop.create_future()
         self.opened_at = 0.0
@@ -336,6 +340,7 @@
         self.attempts[ends] = attempt
         self.fleet.record(f"send {name}" + (f" to {node}" if node else ""))
         for copy, delay in enumerate((0.2, 0.4, 0.8)):
+            attempt.copies_sent.append(time.monotonic())
             self.fleet.route(pack(*ends, SYN, 0, copy), ends, node)
             if await attempt.wait(delay, attempt.opened, attempt.ended) or attempt.opened.done():
                 break
